--- /dev/null
+++ b/libs/admission/burdockrun_admission/__init__.py
@@ -0,0 +1,3 @@
+"""Admission library of burdockrun."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/base/burdockrun_base/__init__.py
@@ -0,0 +1,34 @@
+"""Clock, findings, registries, log events, metrics and the application object."""
+
+from burdockrun_base.application import Application
+from burdockrun_base.clock import Clock, ManualClock, SystemClock
+from burdockrun_base.findings import Finding, Findings
+from burdockrun_base.log_events import (
+    FORMAT_JSON,
+    FORMAT_TEXT,
+    EventLog,
+    Level,
+    LogEvent,
+    define_event,
+    list_events,
+)
+from burdockrun_base.metrics import Metrics
+from burdockrun_base.registry import Registry
+
+__all__ = [
+    "FORMAT_JSON",
+    "FORMAT_TEXT",
+    "Application",
+    "Clock",
+    "EventLog",
+    "Finding",
+    "Findings",
+    "Level",
+    "LogEvent",
+    "ManualClock",
+    "Metrics",
+    "Registry",
+    "SystemClock",
+    "define_event",
+    "list_events",
+]
--- /dev/null
+++ b/libs/base/burdockrun_base/application.py
@@ -0,0 +1,49 @@
+"""Application object that owns the life cycle of a program."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+
+from burdockrun_base.clock import Clock, SystemClock
+from burdockrun_base.log_events import EventLog
+from burdockrun_base.metrics import Metrics
+
+Unload = Callable[[], Awaitable[None]]
+
+
+class Application:
+    """Core object of a program, created once and handed to every part that it sets up."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock | None = None,
+        metrics: Metrics | None = None,
+        events: EventLog | None = None,
+    ) -> None:
+        self.clock: Clock = clock or SystemClock()
+        self.metrics = metrics or Metrics()
+        self.events = events or EventLog()
+        self._unloads: list[Unload] = []
+        self._stopping = asyncio.Event()
+
+    def on_unload(self, unload: Unload) -> None:
+        """Register clean-up; clean-ups run in reverse order of registration."""
+        self._unloads.append(unload)
+
+    def request_stop(self) -> None:
+        """Ask the program to stop."""
+        self._stopping.set()
+
+    async def async_run(self) -> None:
+        """Wait for SIGTERM, SIGINT or `request_stop`, then unload all parts."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.request_stop)
+        await self._stopping.wait()
+        await self.async_unload()
+
+    async def async_unload(self) -> None:
+        """Run the registered clean-ups in reverse order."""
+        while self._unloads:
+            await self._unloads.pop()()
--- /dev/null
+++ b/libs/bench/burdockrun_bench/__init__.py
@@ -0,0 +1,3 @@
+"""Bench library of burdockrun."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/control/burdockrun_control/__init__.py
@@ -0,0 +1,3 @@
+"""Control library of burdockrun."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/endpoint/burdockrun_endpoint/__init__.py
@@ -0,0 +1,3 @@
+"""Endpoint library of burdockrun."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/failover/burdockrun_failover/__init__.py
@@ -0,0 +1,3 @@
+"""Failover library of burdockrun."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/fleet/burdockrun_fleet/__init__.py
@@ -0,0 +1,3 @@
+"""Fleet library of burdockrun."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/load/burdockrun_load/__init__.py
@@ -0,0 +1,3 @@
+"""Load library of burdockrun."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/messages/burdockrun_messages/const.py
@@ -0,0 +1,90 @@
+"""Outcomes, codes and limits of the messages."""
+
+from enum import StrEnum
+from typing import Final
+
+MAX_BODY_BYTES: Final = 256 * 1024
+MAX_DEADLINE_MS: Final = 600_000
+MAX_NAME_LENGTH: Final = 200
+
+
+class Access(StrEnum):
+    """Whether a statement reads or writes."""
+
+    READ = "read"
+    WRITE = "write"
+
+
+class TransactionStep(StrEnum):
+    """Place of a statement within a transaction."""
+
+    BEGIN = "begin"
+    STATEMENT = "statement"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+
+
+class Outcome(StrEnum):
+    """What happened to a request."""
+
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class Code(StrEnum):
+    """Stable reason of an answer; never renamed."""
+
+    OK = "ok"
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNKNOWN_ACCOUNT = "unknown_account"
+    UNKNOWN_DATABASE = "unknown_database"
+    UNKNOWN_RANK = "unknown_rank"
+    BAD_SESSION = "bad_session"
+    DEADLINE = "deadline"
+    OVERLOADED = "overloaded"
+    DRAINING = "draining"
+    NO_CONFIGURATION = "no_configuration"
+    NO_MEMBER_CURRENT = "no_member_current"
+    NO_PRIMARY = "no_primary"
+    UNKNOWN_TRANSACTION = "unknown_transaction"
+    TRANSACTION_ENDED = "transaction_ended"
+    STATEMENT_ERROR = "statement_error"
+    DUPLICATE_CONFLICT = "duplicate_conflict"
+    ANSWER_LOST = "answer_lost"
+    RETRY_BUDGET = "retry_budget"
+
+
+class ExecuteStatus(StrEnum):
+    """What a member says about one statement."""
+
+    OK = "ok"
+    ERROR = "error"
+    BEHIND = "behind"
+    WRONG_TERM = "wrong_term"
+    NOT_PRIMARY = "not_primary"
+    CANCELLED = "cancelled"
+    CONFLICT = "conflict"
+
+
+class MemberRole(StrEnum):
+    """Role of a database member within its term."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+    FENCED = "fenced"
+
+
+class AckRule(StrEnum):
+    """Which members must hold a write before it is acknowledged."""
+
+    MAJORITY = "majority"
+    PRIMARY = "primary"
+
+
+class GroupState(StrEnum):
+    """State of a term of a database group."""
+
+    FENCING = "fencing"
+    ACTIVE = "active"
--- /dev/null
+++ b/libs/messages/burdockrun_messages/endpoints.py
@@ -0,0 +1,124 @@
+"""Messages between a proxy and a database member."""
+
+from dataclasses import dataclass
+
+from burdockrun_messages.const import Access, ExecuteStatus, MemberRole, TransactionStep
+from burdockrun_messages.models import JsonValue, LogPosition
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Execute:
+    """Statement sent on a data connection.
+
+    A member rejects a write whose `term` is not its own, and answers `behind` when it has not
+    reached `required`. Writes store `request_id` in their log entry.
+    """
+
+    execution_id: int
+    statement: str
+    access: Access
+    parameters: tuple[JsonValue, ...] = ()
+    request_id: str | None = None
+    term: int = 0
+    required: LogPosition | None = None
+    step: TransactionStep | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ExecuteAnswer:
+    """Answer to one `Execute`.
+
+    `position` is the member's last entry when the statement ran (for a write, its own entry),
+    `confirmed_index` the greatest index that the member knows to be held by a majority.
+    `repeated` says that the result was recorded by an earlier run of the same request.
+    """
+
+    execution_id: int
+    status: ExecuteStatus
+    position: LogPosition
+    result: JsonValue = None
+    message: str = ""
+    lag_ms: int | None = None
+    confirmed_index: int = 0
+    repeated: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MemberStatus:
+    """State of a member, from its control port.
+
+    `term` is the term that the member has accepted, `position` its last entry (with the term under
+    which the entry was written), `upstream_silent_ms` how long a replica has not heard its primary,
+    `confirmed_index` for a primary the index held by a majority, `pending` and `completed` its
+    statements waiting and finished so far.
+    """
+
+    member: str
+    term: int
+    role: MemberRole
+    position: LogPosition
+    lag_ms: int | None = None
+    upstream_silent_ms: int | None = None
+    confirmed_index: int = 0
+    pending: int = 0
+    completed: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskStatus:
+    """Asks for the status of a member."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Fence:
+    """Makes a member accept `term` and stop serving and following any earlier one."""
+
+    term: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Promote:
+    """Makes a fenced member the primary of `term`; `members` are its replicas' names."""
+
+    term: int
+    members: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Follow:
+    """Makes a member a replica of `primary` under `term`."""
+
+    term: int
+    primary: str
+    host: str
+    control_port: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AwaitConfirmed:
+    """Waits until the primary of `term` knows that a majority holds `index`, at most `wait_ms`."""
+
+    term: int
+    index: int
+    wait_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Settle:
+    """Asks for the recorded result of a request; writes a tombstone when there is none."""
+
+    term: int
+    request_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Settled:
+    """Result of `Settle`: `ran` says whether the request has run; else it can never run."""
+
+    ran: bool
+    position: LogPosition
+    result: JsonValue = None
+
+
+ControlOperation = AskStatus | Fence | Promote | Follow | AwaitConfirmed | Settle
+ControlReply = MemberStatus | Settled
--- /dev/null
+++ b/libs/messages/burdockrun_messages/models.py
@@ -0,0 +1,146 @@
+"""Data that several messages share: positions, configuration and group records."""
+
+from dataclasses import dataclass, field
+
+from burdockrun_messages.const import AckRule, GroupState
+
+JsonValue = None | bool | int | float | str | list["JsonValue"] | dict[str, "JsonValue"]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True, order=True)
+class LogPosition:
+    """Place in the log of a database group; terms compare before indexes.
+
+    >>> LogPosition(term=1, index=9) < LogPosition(term=2, index=3)
+    True
+    """
+
+    term: int
+    index: int
+
+    def has_reached(self, required: "LogPosition | None") -> bool:
+        """Return whether a log that ends here holds the acknowledged entry at `required`.
+
+        Acknowledged entries are kept by every later term, so a later term with at least the same
+        index holds them; an equal index under an earlier term does not.
+
+        >>> LogPosition(term=2, index=7).has_reached(LogPosition(term=1, index=7))
+        True
+        >>> LogPosition(term=1, index=9).has_reached(LogPosition(term=2, index=7))
+        False
+        """
+        if required is None:
+            return True
+        return self.term >= required.term and self.index >= required.index
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Rank:
+    """Work rank; `order` 0 is the most urgent, `floor` is a share of the slots from 0 to 1."""
+
+    name: str
+    order: int
+    target_ms: int
+    worth: float
+    floor: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Member:
+    """Endpoint that serves a database."""
+
+    name: str
+    domain: str
+    host: str
+    port: int
+    control_port: int
+    leaving: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Database:
+    """Replicated database; `connections` is the limit over all its members together."""
+
+    name: str
+    members: tuple[Member, ...]
+    connections: int
+    slots: int
+
+    def find_member(self, name: str) -> Member | None:
+        """Return the member called `name`, or None."""
+        return next((member for member in self.members if member.name == name), None)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Service:
+    """Database service of one client account.
+
+    `stale_reads_ms` gives, for each rank name, the greatest accepted age of data.
+    """
+
+    name: str
+    account: str
+    ranks: tuple[Rank, ...]
+    databases: tuple[Database, ...]
+    stale_reads_ms: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Configuration:
+    """State after all change tickets up to `number`; database names are unique over services."""
+
+    number: int = 0
+    services: dict[str, Service] = field(default_factory=dict)
+
+    def find_database(self, name: str) -> tuple[Service, Database] | None:
+        """Return the database called `name` with its service, or None."""
+        for service in self.services.values():
+            for database in service.databases:
+                if database.name == name:
+                    return service, database
+        return None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TermStart:
+    """Index of the log at which a term started."""
+
+    term: int
+    index: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ActiveTerm:
+    """Primary, members and acknowledgement rule of one active term."""
+
+    term: int
+    primary: str
+    members: tuple[str, ...]
+    ack_rule: AckRule = AckRule.MAJORITY
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GroupRecord:
+    """Agreed state of a database group, kept in the platform's store.
+
+    While `state` is `fencing`, `active` is the previous active term and `term` the one being
+    prepared.
+    """
+
+    database: str
+    term: int
+    state: GroupState
+    active: ActiveTerm | None
+    promoter: str = ""
+    starts: tuple[TermStart, ...] = ()
+    revision: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NodeInfo:
+    """Proxy node with its address and failure domain."""
+
+    node: str
+    domain: str
+    host: str
+    port: int
--- /dev/null
+++ b/libs/messages/burdockrun_messages/peers.py
@@ -0,0 +1,212 @@
+"""Messages between proxy nodes."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Literal
+
+from burdockrun_messages.models import GroupRecord, LogPosition, NodeInfo
+from burdockrun_messages.requests import StatementAnswer, StatementRequest
+
+
+class ForwardStatus(StrEnum):
+    """What the home did with a forwarded request; all but `answered` mean that it did not run."""
+
+    ANSWERED = "answered"
+    BEHIND = "behind"
+    NOT_HOME = "not_home"
+    NOT_PRIMARY = "not_primary"
+
+
+class NodeState(StrEnum):
+    """State of a node in the membership."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Forward:
+    """Request passed to the home of a member; `deadline_ms` is the remaining time."""
+
+    forward_id: int
+    member: str
+    request: StatementRequest
+    deadline_ms: int
+    required: LogPosition | None = None
+    max_lag_ms: int | None = None
+    kind: Literal["forward"] = "forward"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ForwardAnswer:
+    """Answer of the home; `position` and `lag_ms` describe the member."""
+
+    forward_id: int
+    status: ForwardStatus
+    answer: StatementAnswer | None = None
+    position: LogPosition | None = None
+    lag_ms: int | None = None
+    record: GroupRecord | None = None
+    kind: Literal["forward_answer"] = "forward_answer"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MemberUpdate:
+    """Membership news about one node; a greater incarnation wins."""
+
+    info: NodeInfo
+    state: NodeState
+    incarnation: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Digest:
+    """What a node knows, so that the other side can pull what it misses."""
+
+    ticket: int
+    roster_epochs: dict[str, int]
+    terms_hash: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ping:
+    """Membership probe; `sequence` is echoed by the acknowledgement."""
+
+    sequence: int
+    sender: NodeInfo
+    incarnation: int
+    digest: Digest
+    updates: tuple[MemberUpdate, ...] = ()
+    kind: Literal["ping"] = "ping"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PingAck:
+    """Answer to a `Ping`."""
+
+    sequence: int
+    sender: NodeInfo
+    incarnation: int
+    digest: Digest
+    updates: tuple[MemberUpdate, ...] = ()
+    kind: Literal["ping_ack"] = "ping_ack"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PingRequest:
+    """Asks a node to probe `target` on behalf of the sender."""
+
+    sequence: int
+    target: NodeInfo
+    kind: Literal["ping_request"] = "ping_request"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TicketRecord:
+    """Accepted change ticket; `text` is the ticket as JSON."""
+
+    number: int
+    text: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TicketsPush:
+    """Accepted change tickets in order of number."""
+
+    tickets: tuple[TicketRecord, ...]
+    kind: Literal["tickets_push"] = "tickets_push"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TicketsPull:
+    """Asks for tickets after `after_number`, or for a snapshot when they are no longer kept."""
+
+    after_number: int
+    kind: Literal["tickets_pull"] = "tickets_pull"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SnapshotPush:
+    """Whole configuration at ticket `number`, as JSON text."""
+
+    number: int
+    text: str
+    kind: Literal["snapshot_push"] = "snapshot_push"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TermsPush:
+    """Group records that the sender has just learned."""
+
+    records: tuple[GroupRecord, ...]
+    kind: Literal["terms_push"] = "terms_push"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TermsPull:
+    """Asks for the group records of databases; no names means all."""
+
+    databases: tuple[str, ...] = ()
+    kind: Literal["terms_pull"] = "terms_pull"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Roster:
+    """Proxy nodes of a failure domain, as agreed under `epoch`."""
+
+    domain: str
+    epoch: int
+    nodes: tuple[NodeInfo, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RosterPush:
+    """Rosters that the sender has just learned."""
+
+    rosters: tuple[Roster, ...]
+    kind: Literal["roster_push"] = "roster_push"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RolesReleased:
+    """Says that the sender holds no role under rosters of `domain` before `epoch`.
+
+    `members` lists members for which it keeps its role under the new epoch.
+    """
+
+    domain: str
+    epoch: int
+    members: tuple[str, ...] = ()
+    kind: Literal["roles_released"] = "roles_released"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Verdict:
+    """Opinion of the home of `observer` about the primary of `database` in `term`."""
+
+    database: str
+    term: int
+    primary: str
+    observer: str
+    failed: bool
+    position: LogPosition | None = None
+    kind: Literal["verdict"] = "verdict"
+
+
+PeerMessage = (
+    Forward
+    | ForwardAnswer
+    | Ping
+    | PingAck
+    | PingRequest
+    | TicketsPush
+    | TicketsPull
+    | SnapshotPush
+    | TermsPush
+    | TermsPull
+    | RosterPush
+    | RolesReleased
+    | Verdict
+)
--- /dev/null
+++ b/libs/platform/burdockrun_platform/__init__.py
@@ -0,0 +1,3 @@
+"""Platform library of burdockrun."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/proxy/burdockrun_proxy/__init__.py
@@ -0,0 +1,3 @@
+"""Proxy library of burdockrun."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/routing/burdockrun_routing/__init__.py
@@ -0,0 +1,3 @@
+"""Routing library of burdockrun."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/sessions/burdockrun_sessions/__init__.py
@@ -0,0 +1,3 @@
+"""Sessions library of burdockrun."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/settings/burdockrun_settings/__init__.py
@@ -0,0 +1,3 @@
+"""Settings library of burdockrun."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the programs and of the workspace as a whole."""
