Name the sender of a forwarded request and tag peer messages

Cause: the home of a member had no address to send its answer to, and decoding an untagged union tries every type. Change: Forward carries its sender; TaggedPeerMessage selects the type by kind.

--- a/libs/messages/burdockrun_messages/peers.py
+++ b/libs/messages/burdockrun_messages/peers.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Literal
+from typing import Annotated, Literal
+
+from pydantic import Field
 
 from burdockrun_messages.models import GroupRecord, LogPosition, NodeInfo
 from burdockrun_messages.requests import StatementAnswer, StatementRequest
@@ -34,6 +36,7 @@
     member: str
     request: StatementRequest
     deadline_ms: int
+    sender: NodeInfo
     required: LogPosition | None = None
     max_lag_ms: int | None = None
     kind: Literal["forward"] = "forward"
@@ -210,3 +213,5 @@
     | RolesReleased
     | Verdict
 )
+
+TaggedPeerMessage = Annotated[PeerMessage, Field(discriminator="kind")]
