--- /dev/null
+++ b/tests/platform/test_client.py
@@ -0,0 +1,53 @@
+"""Tests of the platform client against a small server."""
+
+import asyncio
+
+import aiohttp
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+from burdockrun_messages import GetKey, KeyEntry, PlatformFailure
+from burdockrun_platform import PLATFORM_PATH, PlatformClient, decode_operation, encode_reply
+
+
+async def _async_answer(request: web.Request) -> web.Response:
+    key = decode_operation(await request.read()).unwrap()
+    assert isinstance(key, GetKey)
+    if key.key == "slow":
+        await asyncio.sleep(30)
+    if key.key == "down":
+        return web.Response(status=503)
+    if key.key == "damaged":
+        return web.Response(body=b'{"reply":"KeyEntry","value":{"key":1}}')
+    return web.Response(body=encode_reply(KeyEntry(key=key.key, value="v", revision=3)))
+
+
+@pytest.mark.parametrize("key", ["slow", "down", "damaged", "good"])
+async def test_client_turns_every_fault_into_a_failure(key: str) -> None:
+    """Guards against exceptions of the HTTP library in the proxy's loop."""
+    app = web.Application()
+    app.router.add_post(PLATFORM_PATH, _async_answer)
+    async with TestServer(app) as server, aiohttp.ClientSession() as session:
+        client = PlatformClient(str(server.make_url("")), session)
+        reply = await client.async_call(GetKey(key=key), 5_000 if key != "slow" else 50)
+    if key == "good":
+        assert reply == KeyEntry(key="good", value="v", revision=3)
+        return
+    assert isinstance(reply, PlatformFailure)
+
+
+async def test_closed_port_is_a_failure() -> None:
+    """Guards against a crash while the platform is down."""
+    async with TestServer(web.Application()) as server:
+        url = str(server.make_url(""))
+    async with aiohttp.ClientSession() as session:
+        reply = await PlatformClient(url, session).async_call(GetKey(key="k"), 1_000)
+    assert isinstance(reply, PlatformFailure)
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b'{"operation":"Nope"}', b'{"operation":["GetKey"]}', b"\xff" * 9]
+)
+def test_damaged_envelope_is_an_error_value(body: bytes) -> None:
+    """Guards against a stand-in that a damaged body stops."""
+    assert decode_operation(body).is_err()
