Add settings files and change tickets

Cause: Proxies need settings and a configuration, and operators need faults reported together with their place. Change: burdockrun_settings reads both kinds of file (JSON with comments), checks single values with pydantic and rules between values on the document as read, and applies and stores tickets.

--- a/libs/settings/burdockrun_settings/__init__.py
+++ b/libs/settings/burdockrun_settings/__init__.py
@@ -1,3 +1,51 @@
-"""Settings library of burdockrun."""
+"""Settings and ticket files, checked as a whole, and the configuration that tickets form."""
 
-__all__: list[str] = []
+from burdockrun_settings.codec import (
+    configuration_from_json,
+    configuration_to_json,
+    ticket_from_json,
+    ticket_to_json,
+)
+from burdockrun_settings.documents import parse_document, read_document
+from burdockrun_settings.loader import check_settings, load_settings
+from burdockrun_settings.models import (
+    Address,
+    ProxySettings,
+    SeedSettings,
+    StatsdSettings,
+    Ticket,
+)
+from burdockrun_settings.schema import (
+    FileModel,
+    IpAddress,
+    Name,
+    Number,
+    Port,
+    collect_faults,
+)
+from burdockrun_settings.tickets import apply_ticket, check_against, check_ticket
+
+__all__ = [
+    "Address",
+    "FileModel",
+    "IpAddress",
+    "Name",
+    "Number",
+    "Port",
+    "ProxySettings",
+    "SeedSettings",
+    "StatsdSettings",
+    "Ticket",
+    "apply_ticket",
+    "check_against",
+    "check_settings",
+    "check_ticket",
+    "collect_faults",
+    "configuration_from_json",
+    "configuration_to_json",
+    "load_settings",
+    "parse_document",
+    "read_document",
+    "ticket_from_json",
+    "ticket_to_json",
+]
--- /dev/null
+++ b/libs/settings/burdockrun_settings/schema.py
@@ -0,0 +1,89 @@
+"""Types of file values and the translation of their faults into findings."""
+
+import ipaddress
+from collections.abc import Sequence
+from typing import Annotated, Any, Final
+
+from burdockrun_base import Findings
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+from pydantic_core import ErrorDetails, PydanticCustomError
+
+from burdockrun_settings.const import (
+    CONF_SESSION_KEYS,
+    MAX_FOUND_LENGTH,
+    MAX_PORT,
+    NAME_DESCRIPTION,
+    NAME_PATTERN,
+)
+
+_SECRET_KEYS: Final = frozenset({CONF_SESSION_KEYS})
+
+
+def _check_ip_address(text: str) -> str:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        raise PydanticCustomError("ip_address", "a numeric IP address") from None
+    return text
+
+
+Text = Annotated[str, Field(strict=True)]
+Name = Annotated[Text, Field(pattern=NAME_PATTERN)]
+IpAddress = Annotated[Text, AfterValidator(_check_ip_address)]
+Port = Annotated[int, Field(strict=True, ge=1, le=MAX_PORT)]
+Number = Annotated[float, Field(strict=True, allow_inf_nan=False)]
+
+
+class FileModel(BaseModel):
+    """Part of a file; unknown keys are faults and values are not converted."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+
+
+def join_path(parts: Sequence[str | int]) -> str:
+    """Return a key path as text.
+
+    >>> join_path(("services", "wendedb", "ranks", 0, "floor"))
+    'services.wendedb.ranks[0].floor'
+    """
+    path = ""
+    for part in parts:
+        path += f"[{part}]" if isinstance(part, int) else f".{part}" if path else part
+    return path
+
+
+def describe_found(value: object) -> str:
+    """Return a value of a file as short text.
+
+    >>> describe_found("x" * 500) == "'" + "x" * 79 + "..."
+    True
+    """
+    text = repr(value)
+    return text if len(text) <= MAX_FOUND_LENGTH else f"{text[:MAX_FOUND_LENGTH]}..."
+
+
+def collect_faults(error: ValidationError, place: str, findings: Findings) -> None:
+    """Add each fault of a validation to the findings."""
+    for item in error.errors(include_url=False):
+        parts = [part for part in item["loc"] if part != "[key]"]
+        findings.add(
+            f"{place}: {join_path(parts)}", expected=_expected(item), found=_found(item, parts)
+        )
+
+
+def _expected(item: ErrorDetails) -> str:
+    if item["type"] == "extra_forbidden":
+        return "no unknown key"
+    if item["type"] == "missing":
+        return "a value"
+    if item["type"] == "string_pattern_mismatch":
+        return NAME_DESCRIPTION
+    return item["msg"].removeprefix("Input should be ").replace(" should have ", " with ")
+
+
+def _found(item: ErrorDetails, parts: Sequence[Any]) -> str:
+    if item["type"] == "missing":
+        return "nothing"
+    if _SECRET_KEYS.intersection(parts):
+        return "a value that is not shown"
+    return describe_found(item["input"])
--- /dev/null
+++ b/libs/settings/burdockrun_settings/tickets.py
@@ -0,0 +1,152 @@
+"""Checking and applying of change tickets."""
+
+from dataclasses import replace
+
+from burdockrun_base import Findings
+from burdockrun_messages import Configuration, Database, Service
+from pydantic import ValidationError
+from result import Err, Ok, Result
+
+from burdockrun_settings.const import CONF_DATABASES, CONF_MEMBERS, CONF_NUMBER, CONF_SERVICES
+from burdockrun_settings.documents import parse_document
+from burdockrun_settings.models import Ticket
+from burdockrun_settings.rules import check_rules
+from burdockrun_settings.schema import collect_faults
+from burdockrun_settings.ticket_file import TicketEntry, build_ticket
+
+PLACE = "ticket"
+
+
+def check_ticket(text: str, place: str) -> Result[Ticket, Findings]:
+    """Return the ticket in a JSON document with comments, or all faults found in it.
+
+    `place` names the document in the findings.
+    """
+    document = parse_document(text, place)
+    if isinstance(document, Err):
+        return document
+    findings = Findings()
+    ticket: Ticket | None = None
+    try:
+        ticket = build_ticket(TicketEntry.model_validate(document.ok_value))
+    except ValidationError as error:
+        collect_faults(error, place, findings)
+    check_rules(document.ok_value, place, findings)
+    return Err(findings) if findings or ticket is None else Ok(ticket)
+
+
+def apply_ticket(configuration: Configuration, ticket: Ticket) -> Configuration:
+    """Return the configuration after a ticket; a ticket without number takes the next one."""
+    services = dict(configuration.services)
+    for name, service in ticket.services.items():
+        if service is None:
+            services.pop(name, None)
+        else:
+            services[name] = service
+    number = configuration.number + 1 if ticket.number is None else ticket.number
+    return replace(configuration, number=number, services=services)
+
+
+def check_against(ticket: Ticket, configuration: Configuration) -> Findings:
+    """Return the faults of a ticket that depend on the configuration it would change."""
+    findings = Findings()
+    following = configuration.number + 1
+    if ticket.number not in (None, following):
+        findings.add(
+            f"{PLACE}: {CONF_NUMBER}",
+            expected=f"{following}, the next number",
+            found=str(ticket.number),
+        )
+    _check_removals(ticket, configuration, findings)
+    _check_names_in_use(ticket, configuration, findings)
+    _check_addresses_in_use(ticket, configuration, findings)
+    for name, service in ticket.services.items():
+        present = configuration.services.get(name)
+        if service is not None and present is not None:
+            _check_kept_members(present, service, findings)
+    return findings
+
+
+def _check_removals(ticket: Ticket, configuration: Configuration, findings: Findings) -> None:
+    for name, service in ticket.services.items():
+        if service is None and name not in configuration.services:
+            findings.add(
+                f"{PLACE}: {CONF_SERVICES}.{name}",
+                expected="a service that exists, to remove it",
+                found="no service of this name",
+            )
+
+
+def _kept_services(ticket: Ticket, configuration: Configuration) -> list[Service]:
+    return [
+        service for name, service in configuration.services.items() if name not in ticket.services
+    ]
+
+
+def _new_databases(ticket: Ticket) -> list[tuple[str, Database]]:
+    return [
+        (f"{PLACE}: {CONF_SERVICES}.{service.name}.{CONF_DATABASES}.{database.name}", database)
+        for service in ticket.services.values()
+        if service is not None
+        for database in service.databases
+    ]
+
+
+def _check_names_in_use(ticket: Ticket, configuration: Configuration, findings: Findings) -> None:
+    owners = {
+        database.name: service.name
+        for service in _kept_services(ticket, configuration)
+        for database in service.databases
+    }
+    for path, database in _new_databases(ticket):
+        if database.name in owners:
+            findings.add(
+                path,
+                expected="a database name that no other service uses",
+                found=f"the name of a database of service {owners[database.name]!r}",
+            )
+
+
+def _check_addresses_in_use(
+    ticket: Ticket, configuration: Configuration, findings: Findings
+) -> None:
+    owners = {
+        (member.host, port): f"{service.name}.{database.name}.{member.name}"
+        for service in _kept_services(ticket, configuration)
+        for database in service.databases
+        for member in database.members
+        for port in (member.port, member.control_port)
+    }
+    for path, database in _new_databases(ticket):
+        for member in database.members:
+            for port in (member.port, member.control_port):
+                owner = owners.get((member.host, port))
+                if owner is not None:
+                    findings.add(
+                        f"{path}.{CONF_MEMBERS}.{member.name}",
+                        expected="an address that is used once",
+                        found=f"{member.host}:{port}, also of {owner}",
+                    )
+
+
+def _check_kept_members(present: Service, service: Service, findings: Findings) -> None:
+    """Require that the new members hold every acknowledged write.
+
+    A write is acknowledged by a majority, so the new members must meet every majority of the
+    present ones.
+    """
+    before = {database.name: database for database in present.databases}
+    for database in service.databases:
+        old = before.get(database.name)
+        if old is None:
+            continue
+        names = {member.name for member in old.members}
+        kept = names & {member.name for member in database.members}
+        least = len(names) - len(names) // 2
+        if len(kept) < least:
+            findings.add(
+                f"{PLACE}: {CONF_SERVICES}.{service.name}.{CONF_DATABASES}.{database.name}"
+                f".{CONF_MEMBERS}",
+                expected=f"at least {least} of the present members {', '.join(sorted(names))}",
+                found=f"{len(kept)}",
+            )
