Add session tokens, read routing and admission

Change: session tokens with their signed text form, position table, choice of a read member, retry budget, rank scheduler and account limiter, each in a simple version.

--- a/libs/admission/burdockrun_admission/__init__.py
+++ b/libs/admission/burdockrun_admission/__init__.py
@@ -1,3 +1,21 @@
-"""Admission library of burdockrun."""
+"""Admission: rank scheduler of a member and fairness among client accounts."""
 
-__all__: list[str] = []
+from burdockrun_admission.accounts import AccountLimiter
+from burdockrun_admission.const import (
+    EVENT_ACCOUNT_LIMITED,
+    EVENT_WORK_EXPIRED,
+    EVENT_WORK_REFUSED,
+)
+from burdockrun_admission.models import Refusal, Take, Work
+from burdockrun_admission.scheduler import RankScheduler
+
+__all__ = [
+    "EVENT_ACCOUNT_LIMITED",
+    "EVENT_WORK_EXPIRED",
+    "EVENT_WORK_REFUSED",
+    "AccountLimiter",
+    "RankScheduler",
+    "Refusal",
+    "Take",
+    "Work",
+]
--- /dev/null
+++ b/libs/admission/burdockrun_admission/models.py
@@ -0,0 +1,32 @@
+"""Data of admission decisions."""
+
+from dataclasses import dataclass
+
+from burdockrun_messages import Code
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Work:
+    """Request that waits for a slot; times are absolute, in ms of the node's clock."""
+
+    work_id: int
+    rank: str
+    account: str
+    arrived_ms: int
+    deadline_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Refusal:
+    """Refusal of work that certainly did not run."""
+
+    code: Code
+    retry_after_ms: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Take:
+    """Work that now holds a slot, if any, and work dropped because its deadline has passed."""
+
+    work: Work | None = None
+    expired: tuple[Work, ...] = ()
--- a/libs/routing/burdockrun_routing/__init__.py
+++ b/libs/routing/burdockrun_routing/__init__.py
@@ -1,3 +1,22 @@
-"""Routing library of burdockrun."""
+"""Routing of reads by position, and the retry budget."""
 
-__all__: list[str] = []
+from burdockrun_routing.const import (
+    EVENT_NO_MEMBER_CURRENT,
+    EVENT_RETRY_BUDGET_SPENT,
+)
+from burdockrun_routing.models import MemberView, ReadChoice, ReadQuery
+from burdockrun_routing.positions import PositionTable
+from burdockrun_routing.reads import choose_read_member, estimate_catch_up_ms
+from burdockrun_routing.retries import RetryBudget
+
+__all__ = [
+    "EVENT_NO_MEMBER_CURRENT",
+    "EVENT_RETRY_BUDGET_SPENT",
+    "MemberView",
+    "PositionTable",
+    "ReadChoice",
+    "ReadQuery",
+    "RetryBudget",
+    "choose_read_member",
+    "estimate_catch_up_ms",
+]
--- a/libs/sessions/burdockrun_sessions/__init__.py
+++ b/libs/sessions/burdockrun_sessions/__init__.py
@@ -1,3 +1,21 @@
-"""Sessions library of burdockrun."""
+"""Session tokens: read-your-writes that survives a change of proxy."""
 
-__all__: list[str] = []
+from burdockrun_sessions.codec import TokenCodec
+from burdockrun_sessions.const import (
+    EVENT_TOKEN_REFUSED,
+    MAX_TOKEN_CHARS,
+    MAX_TOKEN_DATABASES,
+    TokenErrorKind,
+)
+from burdockrun_sessions.models import SessionToken, TokenError, join_positions
+
+__all__ = [
+    "EVENT_TOKEN_REFUSED",
+    "MAX_TOKEN_CHARS",
+    "MAX_TOKEN_DATABASES",
+    "SessionToken",
+    "TokenCodec",
+    "TokenError",
+    "TokenErrorKind",
+    "join_positions",
+]
--- /dev/null
+++ b/tests/routing/test_reads.py
@@ -0,0 +1,82 @@
+"""Tests of the choice of a member for a read."""
+
+import random
+
+from burdockrun_routing import PositionTable, ReadQuery, choose_read_member, estimate_catch_up_ms
+
+from tests.routing.common import at, make_query
+
+
+def make_table(b_index: int = 10, c_index: int = 10, *, lag_ms: int | None = 5) -> PositionTable:
+    table = PositionTable()
+    table.observe("turns", "a", at(10), 0, 1_000)
+    table.observe("turns", "b", at(b_index), lag_ms, 1_000)
+    table.observe("turns", "c", at(c_index), lag_ms, 1_000)
+    return table
+
+
+def choose(query: ReadQuery, table: PositionTable, now_ms: int = 1_000) -> str | None:
+    member = choose_read_member(query, table, now_ms, random.Random(1)).member
+    return member.name if member else None
+
+
+def test_replica_of_the_own_domain_is_preferred() -> None:
+    """Guards against reads that cross domains without need."""
+    assert choose(make_query(required=at(10), domain="nbg"), make_table()) == "b"
+    assert choose(make_query(required=at(10), domain="rgb"), make_table()) == "c"
+    assert choose(make_query(required=at(10), domain="muc-nord"), make_table()) in ("b", "c")
+
+
+def test_read_without_token_or_staleness_goes_to_the_primary() -> None:
+    """Guards against old rows for a caller that asked for current data."""
+    assert choose(make_query(), make_table()) == "a"
+
+
+def test_replica_that_is_far_behind_is_avoided() -> None:
+    """Guards against reads sent to a replica that cannot answer them."""
+    table = make_table(b_index=3, lag_ms=60_000)
+    assert choose(make_query(required=at(10), domain="nbg"), table) == "c"
+    table = make_table(b_index=3, c_index=4, lag_ms=60_000)
+    assert choose(make_query(required=at(10), domain="nbg"), table) == "a"
+
+
+def test_accepted_staleness_allows_a_lagging_replica() -> None:
+    """Guards against a staleness limit that is ignored, or too strict."""
+    table = make_table(lag_ms=900)
+    assert choose(make_query(max_lag_ms=2_000), table) == "b"
+    assert choose(make_query(max_lag_ms=500), table) == "a"
+
+
+def test_unknown_lag_is_stale() -> None:
+    """Guards against reads at a replica that has lost its primary."""
+    table = make_table(lag_ms=None)
+    assert choose(make_query(max_lag_ms=2_000), table) == "a"
+
+
+def test_leaving_and_unavailable_members_are_avoided() -> None:
+    """Guards against new work for an endpoint that leaves or does not answer."""
+    assert choose(make_query(required=at(10), leaving="b"), make_table()) == "c"
+    both = frozenset("bc")
+    assert choose(make_query(required=at(10), unavailable=both), make_table()) == "a"
+    assert choose(make_query(required=at(10), unavailable=frozenset("abc")), make_table()) is None
+
+
+def test_no_member_is_chosen_when_none_can_serve() -> None:
+    """Guards against an old row in place of a refusal while there is no primary."""
+    table = make_table(b_index=3, c_index=4, lag_ms=60_000)
+    query = make_query(required=at(10), primary=None, unavailable=frozenset("a"))
+    assert choose(query, table) is None
+
+
+def test_catch_up_is_unknown_without_lag_or_under_an_older_term() -> None:
+    """Guards against waiting for a replica that will not catch up."""
+    view = make_table(b_index=3, lag_ms=40).view("turns", "b")
+    assert view is not None
+    assert estimate_catch_up_ms(view, at(3), 1_000) == 0
+    estimate = estimate_catch_up_ms(view, at(4), 1_000)
+    assert estimate is not None
+    assert 0 < estimate <= 40
+    assert estimate_catch_up_ms(view, at(3, term=2), 1_000) is None
+    unknown = make_table(b_index=3, lag_ms=None).view("turns", "b")
+    assert unknown is not None
+    assert estimate_catch_up_ms(unknown, at(4), 1_000) is None
--- /dev/null
+++ b/tests/sessions/test_codec.py
@@ -0,0 +1,89 @@
+"""Tests of the text form of session tokens."""
+
+import string
+
+import pytest
+from burdockrun_messages import LogPosition
+from burdockrun_sessions import (
+    MAX_TOKEN_CHARS,
+    MAX_TOKEN_DATABASES,
+    SessionToken,
+    TokenCodec,
+    TokenErrorKind,
+)
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+CODEC = TokenCodec(["first-key"])
+TOKEN = SessionToken(positions={"turns": LogPosition(term=3, index=77)})
+
+
+def refusal(codec: TokenCodec, text: str, account: str = "bayern") -> TokenErrorKind:
+    return codec.decode(text, account).unwrap_err().kind
+
+
+@settings(derandomize=True, max_examples=50)
+@given(
+    st.dictionaries(
+        st.text(min_size=1, max_size=200),
+        st.builds(LogPosition, term=st.integers(0, 2**40), index=st.integers(0, 2**60)),
+        max_size=MAX_TOKEN_DATABASES,
+    ),
+    st.booleans(),
+)
+def test_decoding_returns_what_was_encoded(positions: dict[str, LogPosition], mark: bool) -> None:
+    """Guards against a position that is lost or altered on the way through a caller."""
+    token = SessionToken(positions=positions, unlisted_at_primary=mark)
+    text = CODEC.encode(token, "bayern")
+    decoded = CODEC.decode(text, "bayern").unwrap()
+    assert len(text) <= MAX_TOKEN_CHARS
+    if decoded != token:
+        assert decoded.unlisted_at_primary
+        assert decoded.positions.items() <= positions.items()
+
+
+def test_text_is_bounded_by_leaving_databases_to_the_primary() -> None:
+    """Guards against tokens that outgrow the limit which decoding enforces."""
+    names = [f"{number:03}" + "ü" * 197 for number in range(MAX_TOKEN_DATABASES)]
+    token = SessionToken(positions={name: LogPosition(term=1, index=1) for name in names})
+    decoded = CODEC.decode(CODEC.encode(token, "bayern"), "bayern").unwrap()
+    assert 0 < len(decoded.positions) < MAX_TOKEN_DATABASES
+    assert all(decoded.find(name) or decoded.needs_primary(name) for name in names)
+
+
+def test_any_changed_character_is_refused() -> None:
+    """Guards against forged positions."""
+    text = CODEC.encode(TOKEN, "bayern")
+    for place, character in enumerate(text):
+        for other in string.ascii_letters[:3] + "._~é\0":
+            if other != character:
+                changed = text[:place] + other + text[place + 1 :]
+                assert CODEC.decode(changed, "bayern").is_err(), changed
+
+
+def test_each_fault_has_its_kind() -> None:
+    """Guards against refusals that an operator cannot tell apart."""
+    text = CODEC.encode(TOKEN, "bayern")
+    assert refusal(CODEC, "") is TokenErrorKind.DAMAGED
+    assert refusal(CODEC, "1.é.x") is TokenErrorKind.DAMAGED
+    assert refusal(CODEC, "1") is TokenErrorKind.DAMAGED
+    assert refusal(CODEC, text[:-1]) is TokenErrorKind.BAD_SIGNATURE
+    assert refusal(CODEC, "2" + text[1:]) is TokenErrorKind.UNKNOWN_VERSION
+    assert refusal(CODEC, "1" * (MAX_TOKEN_CHARS + 1)) is TokenErrorKind.TOO_LONG
+    assert refusal(CODEC, text, "andes") is TokenErrorKind.OTHER_ACCOUNT
+    assert refusal(TokenCodec(["other"]), text) is TokenErrorKind.BAD_SIGNATURE
+
+
+def test_old_keys_verify_until_they_are_removed() -> None:
+    """Guards against sessions that break while a key is rotated."""
+    old, both, new = TokenCodec(["old"]), TokenCodec(["new", "old"]), TokenCodec(["new"])
+    assert both.decode(old.encode(TOKEN, "bayern"), "bayern").is_ok()
+    assert new.decode(both.encode(TOKEN, "bayern"), "bayern").is_ok()
+    assert refusal(new, old.encode(TOKEN, "bayern")) is TokenErrorKind.BAD_SIGNATURE
+
+
+@pytest.mark.parametrize("keys", [[], [""], ["a", ""]])
+def test_missing_keys_are_an_error(keys: list[str]) -> None:
+    """Guards against tokens that anyone can sign."""
+    with pytest.raises(ValueError, match="key"):
+        TokenCodec(keys)
