--- a/libs/sessions/burdockrun_sessions/codec.py
+++ b/libs/sessions/burdockrun_sessions/codec.py
@@ -1,13 +1,14 @@
 """Signed text form of session tokens."""
 
-import hashlib
-import json
+import hmac
 from base64 import urlsafe_b64decode, urlsafe_b64encode
 from collections.abc import Sequence
 from typing import Any
 
+import orjson
 from burdockrun_messages import LogPosition
 from itsdangerous import Signer
+from itsdangerous.signer import SigningAlgorithm
 from result import Err, Ok, Result
 
 from burdockrun_sessions.const import (
@@ -23,6 +24,13 @@
 _PREFIX = TOKEN_VERSION + _SEPARATOR
 
 
+class _HmacSha256(SigningAlgorithm):
+    """HMAC in one call of the C library, several times as fast as `hmac.new`."""
+
+    def get_signature(self, key: bytes, value: bytes) -> bytes:
+        return hmac.digest(key, value, "sha256")
+
+
 class TokenCodec:
     """Turns tokens into signed text and back.
 
@@ -36,11 +44,10 @@
         if not keys or not all(keys):
             raise ValueError("session tokens need at least one key, and no key may be empty")
         self._signer = Signer(
-            [key.encode() for key in reversed(keys)],
-            salt=SIGNATURE_SALT,
+            [hmac.digest(key.encode(), SIGNATURE_SALT, "sha256") for key in reversed(keys)],
             sep=_SEPARATOR,
-            digest_method=hashlib.sha256,
-            key_derivation="hmac",
+            key_derivation="none",
+            algorithm=_HmacSha256(),
         )
 
     def encode(self, token: SessionToken, account: str) -> str:
@@ -64,7 +71,7 @@
         if not self._signer.verify_signature(signed, signature):
             return _refuse(TokenErrorKind.BAD_SIGNATURE, "not signed with a current key")
         try:
-            payload = json.loads(urlsafe_b64decode(signed[len(_PREFIX) :]))
+            payload = orjson.loads(urlsafe_b64decode(signed[len(_PREFIX) :]))
             owner, token = _read_payload(payload)
         except (ValueError, TypeError):
             return _refuse(TokenErrorKind.DAMAGED, "signed, but its content is malformed")
@@ -74,10 +81,8 @@
 
     def _sign(self, token: SessionToken, account: str) -> str:
         positions = {name: (at.term, at.index) for name, at in token.positions.items()}
-        payload = json.dumps(
-            [account, int(token.unlisted_at_primary), positions], separators=(",", ":")
-        )
-        signed = _PREFIX + urlsafe_b64encode(payload.encode()).decode()
+        payload = orjson.dumps([account, token.unlisted_at_primary, positions])
+        signed = _PREFIX + urlsafe_b64encode(payload).decode()
         return signed + _SEPARATOR + self._signer.get_signature(signed).decode()
 
 
