Add supervision, promotion and acknowledgement of database groups

Change: `GroupSupervisor`, `Acknowledger`, the `Directory` protocol and the JSON of `groups/<database>`; first promotion, unplanned and planned changes, orders to follow; a virtual-time world for the tests.

--- /dev/null
+++ b/libs/failover/burdockrun_failover/const.py
@@ -0,0 +1,97 @@
+"""Limits, intervals and log events of failover."""
+
+from typing import Final
+
+from burdockrun_base import Level, define_event
+
+RECORD_KEY_PREFIX: Final = "groups/"
+MAX_TERM_STARTS: Final = 16
+
+PROBES_PER_SECOND: Final = 8
+PROBE_MIN_MS: Final = 200
+PROBE_MAX_MS: Final = 1_000
+PROBE_SILENT_MS: Final = 100
+PROBE_TIMEOUT_MS: Final = 400
+
+# A replica that reports half of the suspicion time is asked more often, so that the verdict does
+# not wait for its next regular probe.
+UPSTREAM_DOUBT_MS: Final = 300
+SUSPECT_AFTER_MS: Final = 600
+# Four lost probes in a row: one lost answer after an idle second is no evidence of failure.
+SUSPECT_MIN_PROBES: Final = 4
+STATUS_FRESH_MS: Final = 400
+STUCK_AFTER_MS: Final = 2_000
+# Other homes confirm a stuck primary by their own probes; the 2 s have already passed at its home.
+STUCK_CONFIRM_MS: Final = 500
+STUCK_MIN_ANSWERS: Final = 3
+VERDICT_REPEAT_MS: Final = 100
+VERDICT_FRESH_MS: Final = 500
+
+LEAD_DELAY_MS: Final = 300
+STALL_AFTER_MS: Final = 1_000
+MAX_STALL_MS: Final = 30_000
+CONTROL_TIMEOUT_MS: Final = 400
+CONTROL_RETRY_MS: Final = 100
+CATCH_UP_POLL_MS: Final = 10
+# A planned change is given up in favour of the old primary after this time, which keeps the write
+# gap of a change that fails near the goal of 100 ms.
+CATCH_UP_BOUND_MS: Final = 60
+FOLLOW_REPEAT_MS: Final = 200
+CHANGE_REPEAT_MS: Final = 5_000
+CHANGE_MAX_BEHIND: Final = 200
+
+PLATFORM_TIMEOUT_MS: Final = 1_000
+PLATFORM_QUICK_RETRY_MS: Final = 20
+PLATFORM_RETRY_MIN_MS: Final = 250
+PLATFORM_RETRY_MAX_MS: Final = 30_000
+REREAD_MIN_MS: Final = 1_000
+
+# Rule `primary` gives up the second copy of new writes, so only a long trail justifies it.
+PRIMARY_RULE_AFTER_MS: Final = 10_000
+MAJORITY_RULE_AFTER_MS: Final = 5_000
+CAUGHT_UP_TRAIL_MS: Final = 500
+
+AWAIT_MAX_CALLS: Final = 4
+AWAIT_MAX_WAIT_MS: Final = 1_000
+AWAIT_REPLY_MARGIN_MS: Final = 200
+AWAIT_RETRY_MS: Final = 20
+
+PRIMARY_SUSPECTED = define_event(
+    501, "primary_suspected", Level.WARNING, "The home of a member holds the primary for failed."
+)
+SUSPICION_CLEARED = define_event(
+    502, "suspicion_cleared", Level.INFO, "The home of a member sees the primary working again."
+)
+PROMOTION_STARTED = define_event(
+    503, "promotion_started", Level.WARNING, "This node prepares a new term of a database group."
+)
+MEMBER_CHOSEN = define_event(
+    504, "member_chosen", Level.INFO, "Enough members are fenced and the next primary is chosen."
+)
+TERM_ACTIVATED = define_event(
+    505, "term_activated", Level.WARNING, "A new term is in force and accepts writes."
+)
+PROMOTION_LOST = define_event(
+    506, "promotion_lost", Level.INFO, "Another node has changed the group record first."
+)
+PROMOTION_STALLED = define_event(
+    507, "promotion_stalled", Level.WARNING, "A new term could not be finished and is replaced."
+)
+CHANGE_ABANDONED = define_event(
+    508,
+    "change_abandoned",
+    Level.WARNING,
+    "The replica did not arrive in time; the old primary serves on in the new term.",
+)
+MEMBER_TOLD_TO_FOLLOW = define_event(
+    509, "member_told_to_follow", Level.INFO, "A member was told to follow the primary."
+)
+RECORD_INVALID = define_event(
+    510, "record_invalid", Level.ERROR, "The group record in the platform's store is unreadable."
+)
+PLATFORM_RETRIED = define_event(
+    511, "group_record_retried", Level.WARNING, "A call for the group record failed; it is retried."
+)
+RULE_CHANGED = define_event(
+    512, "ack_rule_changed", Level.WARNING, "A new term is prepared with another rule."
+)
--- /dev/null
+++ b/libs/failover/burdockrun_failover/promotion.py
@@ -0,0 +1,320 @@
+"""One attempt to put a new term in force: claim, fence, choose, promote, activate."""
+
+from collections.abc import Callable
+from enum import Enum, auto
+
+from burdockrun_base import LogEvent
+from burdockrun_messages import (
+    AckRule,
+    ActiveTerm,
+    AskStatus,
+    ControlOperation,
+    ControlReply,
+    Fence,
+    Follow,
+    GroupRecord,
+    LogPosition,
+    Member,
+    MemberRole,
+    MemberStatus,
+    Outbox,
+    Promote,
+)
+
+from burdockrun_failover.choice import choose_member
+from burdockrun_failover.const import (
+    CATCH_UP_BOUND_MS,
+    CATCH_UP_POLL_MS,
+    CHANGE_ABANDONED,
+    CONTROL_RETRY_MS,
+    CONTROL_TIMEOUT_MS,
+    MEMBER_CHOSEN,
+    PROMOTION_STARTED,
+    STALL_AFTER_MS,
+)
+from burdockrun_failover.models import PromotionEnd, PromotionKind, PromotionPlan
+from burdockrun_failover.records import make_active_record, make_fencing_record
+from burdockrun_failover.store import RecordStore
+
+OnEnd = Callable[[PromotionEnd, GroupRecord | None, int], None]
+
+
+class Phase(Enum):
+    """Step that an attempt has reached."""
+
+    CLAIM = auto()
+    FENCE = auto()
+    CATCH_UP = auto()
+    PROMOTE = auto()
+    CONFIRM = auto()
+    ACTIVATE = auto()
+    ENDED = auto()
+
+
+class Promotion:
+    """Attempt of one promoter for one term; it promotes at most one member.
+
+    `on_claimed` gets the fencing record. `on_end` is called once, with the stored record if known.
+    `seen_term` is the greatest term that a member has reported.
+    """
+
+    def __init__(
+        self,
+        plan: PromotionPlan,
+        *,
+        outbox: Outbox,
+        store: RecordStore,
+        on_claimed: Callable[[GroupRecord, int], None],
+        on_end: OnEnd,
+    ) -> None:
+        self.plan = plan
+        self.phase = Phase.CLAIM
+        self.seen_term = plan.term
+        self._outbox = outbox
+        self._store = store
+        self._on_claimed = on_claimed
+        self._on_end = on_end
+        self._claimed: GroupRecord | None = None
+        self._fenced: dict[str, LogPosition] = {}
+        self._chosen: Member | None = None
+        self._final: LogPosition | None = None
+        self._start_index = 0
+        self._phase_at_ms = 0
+        self._repeat_at_ms = 0
+        self._paused = False
+
+    def start(self, now_ms: int) -> None:
+        """Claim the term by swapping the record to `fencing`."""
+        self._log(
+            PROMOTION_STARTED,
+            kind=self.plan.kind.value,
+            reason=self.plan.reason,
+            promoter=self.plan.promoter,
+        )
+        self._phase_at_ms = now_ms
+        wanted = make_fencing_record(
+            self.plan.known,
+            database=self.plan.database,
+            term=self.plan.term,
+            promoter=self.plan.promoter,
+        )
+        revision = self.plan.known.revision if self.plan.known is not None else 0
+        self._store.swap(wanted, revision, self._on_claim)
+
+    def tick(self, now_ms: int) -> None:
+        """Repeat what is due in the present phase."""
+        if self._paused or now_ms < self._repeat_at_ms:
+            return
+        if self.phase is Phase.FENCE:
+            self._evaluate(now_ms)
+            if self.phase is Phase.FENCE:
+                self._fence_missing(now_ms)
+        elif self.phase is Phase.CATCH_UP:
+            self._poll_target(now_ms)
+        elif self.phase in (Phase.PROMOTE, Phase.CONFIRM):
+            if now_ms - self._phase_at_ms >= STALL_AFTER_MS:
+                self._end(PromotionEnd.STALLED, self._claimed, now_ms)
+                return
+            self._repeat_promote(now_ms)
+
+    def pause(self) -> None:
+        """Read the record again before any further step, since others may have gone on."""
+        if self.phase in (Phase.CLAIM, Phase.ACTIVATE, Phase.ENDED):
+            return
+        self._paused = True
+        self._store.read(self._on_reread)
+
+    def stop(self) -> None:
+        """Give the attempt up without a result, since a newer record is known."""
+        self.phase = Phase.ENDED
+        self._store.cancel()
+
+    def _on_reread(self, record: GroupRecord | None, now_ms: int) -> None:
+        if self.phase is Phase.ENDED:
+            return
+        self._paused = False
+        claimed = self._claimed
+        if claimed is None or record is None or record.revision != claimed.revision:
+            self._end(PromotionEnd.LOST, record, now_ms)
+            return
+        self._phase_at_ms = now_ms
+
+    def _on_claim(self, accepted: bool, record: GroupRecord | None, now_ms: int) -> None:
+        if self.phase is not Phase.CLAIM:
+            return
+        if not accepted or record is None:
+            self._end(PromotionEnd.LOST, record, now_ms)
+            return
+        self._claimed = record
+        self._enter(Phase.FENCE, now_ms)
+        self._on_claimed(record, now_ms)
+        self._fence_missing(now_ms)
+
+    def _enter(self, phase: Phase, now_ms: int) -> None:
+        self.phase = phase
+        self._phase_at_ms = now_ms
+        self._repeat_at_ms = now_ms
+
+    def _wait(self, now_ms: int, delay_ms: int) -> None:
+        self._repeat_at_ms = now_ms + delay_ms
+        self._outbox.wake_at(self._repeat_at_ms)
+
+    def _fence_missing(self, now_ms: int) -> None:
+        for name in self._list_to_fence(now_ms):
+            if name not in self._fenced and name in self.plan.addresses:
+                self._call(self.plan.addresses[name], Fence(term=self.plan.term))
+        self._wait(now_ms, CONTROL_RETRY_MS)
+
+    def _list_to_fence(self, now_ms: int) -> tuple[str, ...]:
+        active = self.plan.known.active if self.plan.known is not None else None
+        if active is None:
+            return self.plan.members
+        patient = now_ms - self._phase_at_ms < 3 * CONTROL_RETRY_MS
+        if self.plan.kind is PromotionKind.PLANNED and patient:
+            return (active.primary,)
+        return tuple(dict.fromkeys((*active.members, *self.plan.members)))
+
+    def _evaluate(self, now_ms: int) -> None:
+        active = self.plan.known.active if self.plan.known is not None else None
+        target = self.plan.target
+        if (
+            self.plan.kind is PromotionKind.PLANNED
+            and active is not None
+            and target is not None
+            and target != active.primary
+            and active.primary in self._fenced
+        ):
+            self._final = self._fenced[active.primary]
+            self._enter(Phase.CATCH_UP, now_ms)
+            self._poll_target(now_ms)
+            return
+        patient = now_ms - self._phase_at_ms < STALL_AFTER_MS // 2
+        chosen = choose_member(self.plan, self._fenced, accept_avoided=not patient)
+        if chosen is not None:
+            self._promote(chosen, now_ms)
+
+    def _poll_target(self, now_ms: int) -> None:
+        target = self.plan.addresses.get(self.plan.target or "")
+        if target is None or now_ms - self._phase_at_ms >= CATCH_UP_BOUND_MS:
+            self._abandon(now_ms)
+            return
+        self._call(target, AskStatus())
+        self._wait(now_ms, CATCH_UP_POLL_MS)
+
+    def _abandon(self, now_ms: int) -> None:
+        chosen = choose_member(self.plan, self._fenced, accept_avoided=True)
+        self._log(CHANGE_ABANDONED, target=self.plan.target, chosen=chosen)
+        if chosen is None:
+            self._enter(Phase.FENCE, now_ms)
+            return
+        self._promote(chosen, now_ms)
+
+    def _promote(self, chosen: str, now_ms: int) -> None:
+        self._log(MEMBER_CHOSEN, chosen=chosen, fenced=sorted(self._fenced))
+        self._chosen = self.plan.addresses[chosen]
+        self._enter(Phase.PROMOTE, now_ms)
+        self._repeat_promote(now_ms)
+
+    def _repeat_promote(self, now_ms: int) -> None:
+        if self._chosen is None:
+            return
+        if self.phase is Phase.PROMOTE:
+            others = tuple(name for name in self.plan.members if name != self._chosen.name)
+            self._call(self._chosen, Promote(term=self.plan.term, members=others))
+        else:
+            self._order_follow()
+            self._call(self._chosen, AskStatus())
+        self._wait(now_ms, CONTROL_RETRY_MS)
+
+    def _call(self, member: Member, operation: ControlOperation) -> None:
+        def on_reply(reply: ControlReply | None, now_ms: int) -> None:
+            if isinstance(reply, MemberStatus) and not self._paused:
+                self._receive(member.name, reply, now_ms)
+
+        self._outbox.call_control(
+            member, operation, timeout_ms=CONTROL_TIMEOUT_MS, on_reply=on_reply
+        )
+
+    def _receive(self, member: str, status: MemberStatus, now_ms: int) -> None:
+        if self.phase in (Phase.CLAIM, Phase.ACTIVATE, Phase.ENDED):
+            return
+        if status.term > self.plan.term:
+            self.seen_term = status.term
+            self._end(PromotionEnd.OUTRUN, self._claimed, now_ms)
+            return
+        if status.term == self.plan.term and status.role is MemberRole.FENCED:
+            self._fenced.setdefault(member, status.position)
+        if self.phase is Phase.FENCE:
+            self._evaluate(now_ms)
+        elif self.phase is Phase.CATCH_UP:
+            self._check_target(member, status, now_ms)
+        elif self._chosen is not None and member == self._chosen.name:
+            self._check_promoted(status, now_ms)
+
+    def _check_target(self, member: str, status: MemberStatus, now_ms: int) -> None:
+        if member != self.plan.target or self._final is None:
+            return
+        if status.position < self._final:
+            return
+        if member in self._fenced:
+            self._promote(member, now_ms)
+            return
+        self._call(self.plan.addresses[member], Fence(term=self.plan.term))
+
+    def _check_promoted(self, status: MemberStatus, now_ms: int) -> None:
+        if status.term != self.plan.term or status.role is not MemberRole.PRIMARY:
+            return
+        if self.phase is Phase.PROMOTE:
+            self._start_index = status.position.index
+            self._order_follow()
+            if self._needs_confirmation():
+                self._enter(Phase.CONFIRM, now_ms)
+        if self.phase is Phase.CONFIRM and status.confirmed_index < self._start_index:
+            return
+        self._activate(now_ms)
+
+    def _needs_confirmation(self) -> bool:
+        """Return whether the acknowledging sets change, so that the new ones must hold the log."""
+        active = self.plan.known.active if self.plan.known is not None else None
+        if active is None or self.plan.ack_rule is AckRule.PRIMARY:
+            return False
+        same_members = set(active.members) == set(self.plan.members)
+        return active.ack_rule is AckRule.PRIMARY or not same_members
+
+    def _order_follow(self) -> None:
+        if self._chosen is None:
+            return
+        order = Follow(
+            term=self.plan.term,
+            primary=self._chosen.name,
+            host=self._chosen.host,
+            control_port=self._chosen.control_port,
+        )
+        for name in self.plan.members:
+            if name != self._chosen.name and name in self.plan.addresses:
+                self._call(self.plan.addresses[name], order)
+
+    def _activate(self, now_ms: int) -> None:
+        if self._claimed is None or self._chosen is None:
+            return
+        active = ActiveTerm(
+            term=self.plan.term,
+            primary=self._chosen.name,
+            members=self.plan.members,
+            ack_rule=self.plan.ack_rule,
+        )
+        wanted = make_active_record(self._claimed, active=active, start_index=self._start_index)
+        self._enter(Phase.ACTIVATE, now_ms)
+        self._store.swap(wanted, self._claimed.revision, self._on_activated)
+
+    def _on_activated(self, accepted: bool, record: GroupRecord | None, now_ms: int) -> None:
+        if self.phase is not Phase.ACTIVATE:
+            return
+        self._end(PromotionEnd.ACTIVE if accepted else PromotionEnd.LOST, record, now_ms)
+
+    def _end(self, end: PromotionEnd, record: GroupRecord | None, now_ms: int) -> None:
+        self.stop()
+        self._on_end(end, record, now_ms)
+
+    def _log(self, event: LogEvent, **fields: object) -> None:
+        self._outbox.log(event, database=self.plan.database, term=self.plan.term, **fields)
--- /dev/null
+++ b/libs/failover/burdockrun_failover/records.py
@@ -0,0 +1,118 @@
+"""Group records: their JSON, their order, and which fenced sets make a promotion safe."""
+
+from collections.abc import Mapping
+from dataclasses import replace
+
+from burdockrun_messages import (
+    AckRule,
+    ActiveTerm,
+    GroupRecord,
+    GroupState,
+    KeyEntry,
+    LogPosition,
+    TermStart,
+    decode_message,
+    encode_message,
+)
+from result import Err, Ok, Result
+
+from burdockrun_failover.const import MAX_TERM_STARTS, RECORD_KEY_PREFIX
+
+
+def format_record_key(database: str) -> str:
+    """Return the key of a database's group record.
+
+    >>> format_record_key("orders")
+    'groups/orders'
+    """
+    return f"{RECORD_KEY_PREFIX}{database}"
+
+
+def encode_record(record: GroupRecord) -> str:
+    """Return the JSON value of a record; the revision is the store's and is left at 0."""
+    return encode_message(replace(record, revision=0)).decode()
+
+
+def decode_record(entry: KeyEntry) -> Result[GroupRecord | None, str]:
+    """Return the record in a store entry, or None when the key does not exist."""
+    if entry.revision == 0:
+        return Ok(None)
+    decoded = decode_message(GroupRecord, entry.value)
+    if isinstance(decoded, Err):
+        return decoded
+    return Ok(replace(decoded.ok_value, revision=entry.revision))
+
+
+def is_newer(record: GroupRecord, known: GroupRecord | None) -> bool:
+    """Return whether a record replaces the known one; revisions of a key only grow."""
+    return known is None or record.revision > known.revision
+
+
+def is_same_step(record: GroupRecord | None, wanted: GroupRecord) -> bool:
+    """Return whether a stored record is the effect of a put whose answer was lost."""
+    return (
+        record is not None
+        and record.promoter == wanted.promoter
+        and record.term == wanted.term
+        and record.state is wanted.state
+    )
+
+
+def count_majority(members: int) -> int:
+    """Return the size of a majority.
+
+    >>> [count_majority(size) for size in (1, 2, 3, 5)]
+    [1, 2, 2, 3]
+    """
+    return members // 2 + 1
+
+
+def make_fencing_record(
+    known: GroupRecord | None, *, database: str, term: int, promoter: str
+) -> GroupRecord:
+    """Return the record that claims `term` for one attempt and keeps the last active term."""
+    return GroupRecord(
+        database=database,
+        term=term,
+        state=GroupState.FENCING,
+        active=known.active if known is not None else None,
+        promoter=promoter,
+        starts=known.starts if known is not None else (),
+    )
+
+
+def make_active_record(
+    claimed: GroupRecord, *, active: ActiveTerm, start_index: int
+) -> GroupRecord:
+    """Return the record that puts a claimed term in force."""
+    starts = (*claimed.starts, TermStart(term=active.term, index=start_index))
+    return replace(
+        claimed, state=GroupState.ACTIVE, active=active, starts=starts[-MAX_TERM_STARTS:]
+    )
+
+
+def find_start(record: GroupRecord, term: int) -> LogPosition:
+    """Return the position at which a term started, or the lowest position of the term."""
+    for start in record.starts:
+        if start.term == term:
+            return LogPosition(term=term, index=start.index)
+    return LogPosition(term=term, index=0)
+
+
+def covers_acknowledged(
+    previous: ActiveTerm, start: LogPosition, fenced: Mapping[str, LogPosition]
+) -> bool:
+    """Return whether a fenced set intersects every acknowledging set of a term.
+
+    The primary of the term belongs to each of them, under either rule. It counts only while its
+    log still reaches the start of its term; a member that came back empty does not.
+    """
+    primary = fenced.get(previous.primary)
+    if primary is not None and primary >= start:
+        return True
+    if previous.ack_rule is AckRule.PRIMARY:
+        return False
+    held = sum(1 for member in previous.members if member in fenced)
+    if previous.primary in fenced:
+        held -= 1
+    return held >= count_majority(len(previous.members))
--- /dev/null
+++ b/tests/failover/common.py
@@ -0,0 +1,500 @@
+"""Virtual-time world of nodes, members, links and store that the failover tests share."""
+
+import heapq
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from itertools import pairwise
+from typing import Any
+
+from burdockrun_failover import Acknowledger, GroupSupervisor, decode_record
+from burdockrun_messages import (
+    ActiveTerm,
+    AskStatus,
+    AwaitConfirmed,
+    CallControl,
+    CallPlatform,
+    ControlAnswered,
+    Database,
+    Fence,
+    Follow,
+    GetKey,
+    GroupRecord,
+    KeyEntry,
+    LogPosition,
+    Member,
+    MemberRole,
+    MemberStatus,
+    NodeInfo,
+    Outbox,
+    PlatformAnswered,
+    PlatformFailure,
+    Promote,
+    PutKey,
+    PutReply,
+    RecordLog,
+    SendPeer,
+    TermsPush,
+    Verdict,
+    WakeAt,
+)
+
+BAYERN = ("muc-nord", "nbg", "rgb", "aug")
+ANDES = ("medellin-a", "bogota-b", "manizales-c")
+ONE_WAY_MS = {BAYERN: 5, ANDES: 4}
+DATABASE = "orders"
+
+
+class Links:
+    """Links between places; each place has a name and a failure domain."""
+
+    def __init__(self, rng: random.Random, one_way_ms: int) -> None:
+        self.loss = 0.0
+        self.cuts: set[frozenset[str]] = set()
+        self._rng = rng
+        self._one_way_ms = one_way_ms
+
+    def delay_ms(self, source: tuple[str, str], target: tuple[str, str]) -> int | None:
+        """Return the delay of one message, or None when it is lost."""
+        if any(frozenset((a, b)) in self.cuts for a in source for b in target):
+            return None
+        if self._rng.random() < self.loss:
+            return None
+        base = 1 if source[1] == target[1] else self._one_way_ms
+        return base + (self._rng.randint(0, base) if self._rng.random() < 0.1 else 0)
+
+
+class FakeStore:
+    """Compare-and-swap store that can be down or lose answers after the effect."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self.lost_answers = 0.0
+        self.entries: dict[str, KeyEntry] = {}
+        self.history: list[GroupRecord] = []
+
+    def apply(self, operation: Any, rng: random.Random) -> Any:
+        """Apply one operation; None means that the answer is lost or the store is down."""
+        if self.down:
+            return None
+        missing = KeyEntry(key=operation.key, value="", revision=0)
+        present = self.entries.get(operation.key, missing)
+        reply: Any = present
+        if isinstance(operation, PutKey):
+            accepted = operation.expected_revision in (None, present.revision)
+            if accepted:
+                present = KeyEntry(
+                    key=operation.key, value=operation.value, revision=len(self.history) + 1
+                )
+                self.entries[operation.key] = present
+                self.history.append(decode_record(present).unwrap())  # type: ignore[arg-type]
+            reply = PutReply(accepted=accepted, entry=present)
+        else:
+            assert isinstance(operation, GetKey)
+        return None if rng.random() < self.lost_answers else reply
+
+
+class FakeMember:
+    """Database member with the fence, promote, follow and confirm semantics of the design."""
+
+    def __init__(self, world: "World", member: Member) -> None:
+        self.world = world
+        self.member = member
+        self.alive = True
+        self.stuck = False
+        self.ships_when_fenced = True
+        self.pull_ms = 0
+        self.term = 0
+        self.role = MemberRole.REPLICA
+        self.log: list[tuple[int, str]] = []
+        self.members: tuple[str, ...] = ()
+        self.serves_term = 0
+        self.upstream: str | None = None
+        self.heard_ms = 0
+        self.matched: dict[str, int] = {}
+        self.completed = 0
+        self.pending = 0
+        self.waiting: list[tuple[int, int, int, Callable[[MemberStatus], None]]] = []
+        self.pulls = 0
+
+    @property
+    def place(self) -> tuple[str, str]:
+        """Return the name and the failure domain."""
+        return (self.member.name, self.member.domain)
+
+    @property
+    def position(self) -> LogPosition:
+        """Return the position of the last entry."""
+        return LogPosition(term=self.log[-1][0] if self.log else 0, index=len(self.log))
+
+    @property
+    def confirmed_index(self) -> int:
+        """Return the index held by a majority, once the start entry of the term is."""
+        if self.role is not MemberRole.PRIMARY:
+            return 0
+        held = sorted([len(self.log), *(self.matched.get(name, 0) for name in self.members)])
+        index = held[-(len(held) // 2 + 1)]
+        return index if index and self.log[index - 1][0] == self.term else 0
+
+    def status(self) -> MemberStatus:
+        """Return the status as the control port reports it."""
+        replica = self.role is MemberRole.REPLICA and self.upstream is not None
+        return MemberStatus(
+            member=self.member.name,
+            term=self.term,
+            role=self.role,
+            position=self.position,
+            upstream_silent_ms=self.world.now_ms - self.heard_ms if replica else None,
+            confirmed_index=self.confirmed_index,
+            pending=self.pending,
+            completed=self.completed,
+        )
+
+    def control(self, operation: Any, reply: Callable[[MemberStatus], None]) -> None:
+        """Handle one control operation."""
+        if isinstance(operation, AwaitConfirmed):
+            until_ms = self.world.now_ms + operation.wait_ms
+            self.waiting.append((operation.term, operation.index, until_ms, reply))
+            self.world.after(operation.wait_ms, self.answer_waiting)
+            self.answer_waiting()
+            return
+        if isinstance(operation, Fence) and operation.term > self.term:
+            self.term, self.role, self.upstream = operation.term, MemberRole.FENCED, None
+        fenced = self.role is MemberRole.FENCED
+        if isinstance(operation, Promote) and operation.term == self.term and fenced:
+            self.world.note_primary(self.term, self.member.name)
+            self.role, self.members, self.matched = MemberRole.PRIMARY, operation.members, {}
+            self.serves_term = self.term
+            self.log.append((self.term, f"start {self.term}"))
+        if isinstance(operation, Follow) and operation.primary != self.member.name:
+            again = self.role is MemberRole.REPLICA and self.term == operation.term
+            old = operation.term == self.term and self.role is MemberRole.PRIMARY
+            if operation.term >= self.term and not again and not old:
+                self.term, self.role = operation.term, MemberRole.REPLICA
+                self.upstream, self.heard_ms = operation.primary, self.world.now_ms
+                self.pull()
+        assert isinstance(operation, AskStatus | Fence | Promote | Follow)
+        reply(self.status())
+        self.answer_waiting()
+
+    def write(self, term: int, text: str) -> int | None:
+        """Append a write of the member's own term and return its index."""
+        if self.stuck:
+            self.pending += 1
+            return None
+        if self.role is not MemberRole.PRIMARY or term != self.term:
+            return None
+        self.log.append((term, text))
+        self.completed += 1
+        return len(self.log)
+
+    def answer_waiting(self) -> None:
+        """Answer the waits that are confirmed, ended or expired."""
+        waiting, self.waiting = self.waiting, []
+        for item in waiting:
+            term, index, until_ms, reply = item
+            ended = term != self.term or self.role is not MemberRole.PRIMARY
+            if ended or self.confirmed_index >= index or self.world.now_ms >= until_ms:
+                reply(self.status())
+            else:
+                self.waiting.append(item)
+
+    def pull(self) -> None:
+        """Ask the primary for entries, and again when no answer comes."""
+        self.pulls += 1
+        number, upstream = self.pulls, self.upstream
+        if upstream is None or self.role is not MemberRole.REPLICA or not self.alive:
+            return
+        primary = self.world.members[upstream]
+        term, position = self.term, self.position
+
+        def arrive() -> None:
+            primary.serve_pull(self, term, position, number, self.world.now_ms + 20)
+
+        self.world.send(self.place, primary.place, arrive)
+        self.world.after(100, lambda: self.pull() if self.pulls == number else None)
+
+    def serve_pull(
+        self, replica: "FakeMember", term: int, at: LogPosition, number: int, until_ms: int
+    ) -> None:
+        """Answer a pull once there are entries, at the latest after 20 ms."""
+        ships = self.term == term or self.ships_when_fenced
+        if not self.alive or self.serves_term != term or not ships:
+            return
+        common = at.index <= len(self.log) and (
+            at.index == 0 or self.log[at.index - 1][0] == at.term
+        )
+        if common and self.role is MemberRole.PRIMARY:
+            name = replica.member.name
+            self.matched[name] = max(self.matched.get(name, 0), at.index)
+            self.answer_waiting()
+        start = at.index if common else 0
+        if start == len(self.log) and self.world.now_ms < until_ms:
+            self.world.after(2, lambda: self.serve_pull(replica, term, at, number, until_ms))
+            return
+        entries = self.log[start:]
+
+        def arrive() -> None:
+            if replica.term != term or replica.role is not MemberRole.REPLICA:
+                return
+            replica.heard_ms = self.world.now_ms
+            if replica.pulls == number:
+                replica.log[start:] = entries
+                self.world.after(replica.pull_ms, replica.pull)
+
+        self.world.send(self.place, replica.place, arrive)
+
+
+class FakeNode:
+    """Proxy node with one supervisor; may be paused or dead."""
+
+    def __init__(self, world: "World", info: NodeInfo) -> None:
+        self.world = world
+        self.info = info
+        self.alive = True
+        self.paused_since_ms: int | None = None
+        self.held: list[Callable[[], None]] = []
+        self.outbox = Outbox()
+        self.acknowledger = Acknowledger(self.outbox)
+        self.events: list[str] = []
+        self.supervisor = GroupSupervisor(world.database, info, self, self.outbox, world.fork_rng())
+        self.supervisor.on_record = self.spread
+
+    @property
+    def place(self) -> tuple[str, str]:
+        """Return the name and the failure domain."""
+        return (self.info.node, self.info.domain)
+
+    def find_home(self, member: Member) -> NodeInfo | None:
+        """Return the home of a member."""
+        return self.world.homes[member.name].info
+
+    def is_home(self, member: Member) -> bool:
+        """Return whether this node is the home."""
+        return self.world.homes[member.name] is self
+
+    def list_nodes(self) -> Sequence[NodeInfo]:
+        """Return all nodes."""
+        return [node.info for node in self.world.nodes]
+
+    def spread(self, record: GroupRecord, now_ms: int) -> None:
+        """Send a record to all other nodes."""
+        for node in self.world.nodes:
+            if node is not self:
+                self.outbox.send_peer(node.info, TermsPush(records=(record,)))
+
+    def run(self, step: Callable[[], None]) -> None:
+        """Run one step and its actions, or keep it while the process is paused."""
+        if not self.alive:
+            return
+        if self.paused_since_ms is not None:
+            self.held.append(step)
+            return
+        step()
+        for action in self.outbox.drain():
+            self.world.perform(self, action)
+
+    def resume(self) -> None:
+        """End a pause; the steps that arrived meanwhile run after the pause event."""
+        gap_ms = self.world.now_ms - (self.paused_since_ms or 0)
+        self.paused_since_ms = None
+        self.run(lambda: self.supervisor.pause(gap_ms, self.world.now_ms))
+        held, self.held = self.held, []
+        for step in held:
+            self.run(step)
+
+    def tick(self) -> None:
+        """Pass the time to the decisions."""
+        self.supervisor.tick(self.world.now_ms)
+        self.acknowledger.tick(self.world.now_ms)
+
+    def receive(self, message: Any) -> None:
+        """Handle a message of a peer."""
+        if isinstance(message, Verdict):
+            self.supervisor.receive_verdict(message, self.world.now_ms)
+        elif isinstance(message, TermsPush):
+            for record in message.records:
+                self.supervisor.learn_record(record, self.world.now_ms)
+
+
+@dataclass(kw_only=True)
+class Acknowledged:
+    """Write that the caller was told is done."""
+
+    text: str
+    term: int
+    at_ms: int
+
+
+@dataclass(kw_only=True)
+class World:
+    """Everything at one virtual time."""
+
+    seed: int
+    domains: tuple[str, ...] = BAYERN
+    size: int = 3
+    now_ms: int = 0
+    acknowledged: list[Acknowledged] = field(default_factory=list)
+    primaries: dict[int, str] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self._queue: list[tuple[int, int, Callable[[], None]]] = []
+        self._number = 0
+        self.links = Links(self.fork_rng(), ONE_WAY_MS.get(self.domains, 5))
+        self.store = FakeStore()
+        listed = tuple(self.make_member(number) for number in range(self.size))
+        self.database = Database(name=DATABASE, members=listed, connections=16, slots=2)
+        self.members = {member.name: FakeMember(self, member) for member in listed}
+        self.nodes: list[FakeNode] = []
+        self.homes: dict[str, FakeNode] = {}
+        for number, domain in enumerate(self.domains):
+            info = NodeInfo(node=f"p{number}", domain=domain, host="127.0.0.1", port=1)
+            self.nodes.append(FakeNode(self, info))
+        for number, member in enumerate(listed):
+            self.homes[member.name] = self.nodes[number % len(self.nodes)]
+        for node in self.nodes:
+            self._tick_forever(node)
+        self._written = 0
+
+    def make_member(self, number: int) -> Member:
+        """Return the member with a number, spread over the domains."""
+        domain = self.domains[number % len(self.domains)]
+        return Member(name=f"m{number}", domain=domain, host="h", port=1, control_port=2)
+
+    def fork_rng(self) -> random.Random:
+        """Return a random source of its own for one part."""
+        return random.Random(self.rng.getrandbits(64))
+
+    def after(self, delay_ms: int, step: Callable[[], None]) -> None:
+        """Run a step after a delay."""
+        self._number += 1
+        heapq.heappush(self._queue, (self.now_ms + delay_ms, self._number, step))
+
+    def run_until(self, until_ms: int) -> None:
+        """Run all steps up to a time."""
+        while self._queue and self._queue[0][0] <= until_ms:
+            self.now_ms, _, step = heapq.heappop(self._queue)
+            step()
+        self.now_ms = until_ms
+
+    def run_for(self, ms: int) -> None:
+        """Run all steps of a span of time."""
+        self.run_until(self.now_ms + ms)
+
+    def send(
+        self, source: tuple[str, str], target: tuple[str, str], step: Callable[[], None]
+    ) -> None:
+        """Deliver a step over a link unless the message is lost."""
+        delay_ms = self.links.delay_ms(source, target)
+        if delay_ms is not None:
+            self.after(delay_ms, step)
+
+    def _tick_forever(self, node: FakeNode) -> None:
+        node.run(node.tick)
+        self.after(self.rng.randint(20, 50), lambda: self._tick_forever(node))
+
+    def note_primary(self, term: int, name: str) -> None:
+        """Check that a term has one primary only."""
+        assert self.primaries.setdefault(term, name) == name, f"two primaries in term {term}"
+
+    def perform(self, node: FakeNode, action: Any) -> None:
+        """Carry out an action of a node."""
+        if isinstance(action, CallControl):
+            self._call_control(node, action)
+        elif isinstance(action, CallPlatform):
+            self._call_platform(node, action)
+        elif isinstance(action, SendPeer):
+            peer = next(other for other in self.nodes if other.info == action.peer)
+            message = action.message
+            self.send(node.place, peer.place, lambda: peer.run(lambda: peer.receive(message)))
+        elif isinstance(action, WakeAt):
+            self.after(max(0, action.at_ms - self.now_ms), lambda: node.run(node.tick))
+        elif isinstance(action, RecordLog):
+            node.events.append(action.event.name)
+
+    def _call_control(self, node: FakeNode, call: CallControl) -> None:
+        member = self.members[call.member.name]
+
+        def finish(reply: MemberStatus | None) -> None:
+            event = ControlAnswered(call_id=call.call_id, reply=reply)
+            node.run(lambda: node.outbox.finish_control(event, self.now_ms))
+
+        def answer(status: MemberStatus) -> None:
+            self.send(member.place, node.place, lambda: finish(status))
+
+        def arrive() -> None:
+            if member.alive:
+                member.control(call.operation, answer)
+
+        self.send(node.place, member.place, arrive)
+        self.after(call.timeout_ms, lambda: finish(None))
+
+    def _call_platform(self, node: FakeNode, call: CallPlatform) -> None:
+        place = ("platform", "platform")
+
+        def finish(reply: Any) -> None:
+            event = PlatformAnswered(call_id=call.call_id, reply=reply)
+            node.run(lambda: node.outbox.finish_platform(event, self.now_ms))
+
+        def arrive() -> None:
+            reply = self.store.apply(call.operation, self.rng)
+            if reply is not None:
+                self.send(place, node.place, lambda: finish(reply))
+
+        self.send(node.place, place, arrive)
+        self.after(call.timeout_ms, lambda: finish(PlatformFailure(reason="timeout")))
+
+    def start_writes(self, node: FakeNode, every_ms: int) -> None:
+        """Write at the primary that the node knows, for ever."""
+        self._write(node)
+        self.after(every_ms, lambda: self.start_writes(node, every_ms))
+
+    def _write(self, node: FakeNode) -> None:
+        active = self.active_at(node)
+        if active is None:
+            return
+        self._written += 1
+        text = f"w{self._written}"
+        member = self.members[active.primary]
+
+        def acknowledge(confirmed: bool, now_ms: int) -> None:
+            if confirmed:
+                done = Acknowledged(text=text, term=active.term, at_ms=now_ms)
+                self.acknowledged.append(done)
+
+        def confirm(index: int) -> None:
+            if active.ack_rule == "primary":
+                acknowledge(True, self.now_ms)
+                return
+            deadline_ms = self.now_ms + 2_000
+            node.acknowledger.wait(member.member, active.term, index, deadline_ms, acknowledge)
+
+        def arrive() -> None:
+            index = member.write(active.term, text) if member.alive else None
+            if index is not None:
+                self.send(member.place, node.place, lambda: node.run(lambda: confirm(index)))
+
+        self.send(node.place, member.place, arrive)
+
+    def active_at(self, node: FakeNode) -> ActiveTerm | None:
+        """Return the active term that a node knows."""
+        record = node.supervisor.record
+        return record.active if record is not None else None
+
+    @property
+    def active(self) -> ActiveTerm:
+        """Return the active term in the store."""
+        active = self.store.history[-1].active
+        assert active is not None
+        return active
+
+    def list_missing(self) -> list[str]:
+        """Return the acknowledged writes that the log of the present primary lacks."""
+        log = {text for _, text in self.members[self.active.primary].log}
+        return [item.text for item in self.acknowledged if item.text not in log]
+
+    def find_gap_ms(self, from_ms: int) -> int:
+        """Return the longest time without an acknowledged write from `from_ms` on."""
+        times = [from_ms, *(item.at_ms for item in self.acknowledged if item.at_ms >= from_ms)]
+        return max(later - earlier for earlier, later in pairwise(times))
