Add the model of a database member

Change: DatabaseMember with log, fencing, promotion, common-prefix truncation, settle, idempotency records, transactions and slots.

--- /dev/null
+++ b/libs/endpoint/burdockrun_endpoint/member.py
@@ -0,0 +1,257 @@
+"""Model of one member of a replicated database, without I/O."""
+
+import random
+
+from burdockrun_messages import (
+    AwaitConfirmed,
+    ControlOperation,
+    ControlReply,
+    Execute,
+    Fence,
+    Follow,
+    MemberRole,
+    MemberStatus,
+    Promote,
+    Settle,
+    Settled,
+)
+
+from burdockrun_endpoint.connections import Connections
+from burdockrun_endpoint.const import MAX_BATCH_ENTRIES
+from burdockrun_endpoint.execution import ExecutionQueue
+from burdockrun_endpoint.log import EntryLog
+from burdockrun_endpoint.models import Completed, EntryBatch, LogEntry, PullEntries
+from burdockrun_endpoint.replication import HeldEntries
+from burdockrun_endpoint.runner import StatementRunner
+from burdockrun_endpoint.state import MemberState
+
+
+class DatabaseMember:
+    """Database member with a log, terms, slots, transactions and asynchronous replication.
+
+    The adapter opens and closes connections, passes messages in, and calls `advance` at `next_ms`
+    to collect answers. A replica pulls entries: the adapter takes `make_pull`, passes it to
+    `take_entries` of the upstream and the result to `receive_entries`.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        slots: int,
+        service_ms: float,
+        rng: random.Random,
+        *,
+        connections: int | None = None,
+    ) -> None:
+        self.name = name
+        self.domain = domain
+        self.leaving = False
+        self.lag_ms = 0
+        self.queue = ExecutionQueue(slots, service_ms, rng)
+        self.connections = Connections(connections)
+        self.completed = 0
+        self._state = MemberState()
+        self._runner = StatementRunner(self._state, self.connections)
+        self._ready: list[Completed] = []
+
+    @property
+    def log(self) -> EntryLog:
+        """Return the log."""
+        return self._state.log
+
+    @property
+    def term(self) -> int:
+        """Return the accepted term."""
+        return self._state.term
+
+    @property
+    def role(self) -> MemberRole:
+        """Return the role in the accepted term."""
+        return self._state.role
+
+    @property
+    def upstream(self) -> Follow | None:
+        """Return whom a replica follows."""
+        return self._state.upstream
+
+    @property
+    def confirmed_index(self) -> int:
+        """Return the greatest index known to be held by a majority."""
+        return self._state.confirmed_index
+
+    def open(self, connection_id: int) -> bool:
+        """Open a data connection; False when the limit is reached."""
+        return self.connections.open(connection_id)
+
+    def close(self, connection_id: int) -> None:
+        """Close a data connection; its transaction rolls back.
+
+        A statement in service still ends, and its effect stays when it is not in a transaction.
+        """
+        self.connections.close(connection_id)
+        self.queue.drop_waiting(connection_id)
+        self._ready = [item for item in self._ready if item.connection_id != connection_id]
+
+    def restart(self) -> None:
+        """Restart the process: term and log stay, the rest is lost; a new term gives it a role."""
+        self.connections.clear()
+        self.queue.clear()
+        self._ready.clear()
+        self._take_role(MemberRole.FENCED)
+
+    def execute(self, connection_id: int, message: Execute, now_ms: int) -> None:
+        """Take one statement; its answer comes from `advance`."""
+        if connection_id not in self.connections:
+            return
+        answer = self._runner.answer_at_once(connection_id, message, now_ms)
+        if answer is None:
+            self.queue.add(connection_id, message, now_ms)
+            return
+        self._ready.append(Completed(connection_id=connection_id, answer=answer))
+
+    def advance(self, now_ms: int) -> list[Completed]:
+        """Finish the statements that are due by `now_ms` and return all new answers."""
+        while (finished := self.queue.take_finished(now_ms)) is not None:
+            ended_ms, connection_id, message = finished
+            answer = self._runner.finish(connection_id, message, ended_ms)
+            self.completed += 1
+            if connection_id in self.connections:
+                self._ready.append(Completed(connection_id=connection_id, answer=answer))
+        ready, self._ready = self._ready, []
+        return ready
+
+    def next_ms(self, now_ms: int) -> int | None:
+        """Return when `advance` has something to do, or None."""
+        return now_ms if self._ready else self.queue.next_ms()
+
+    def status(self, now_ms: int) -> MemberStatus:
+        """Return the state of the member."""
+        silent_ms = None
+        if self.role is MemberRole.REPLICA and self._state.heard_ms is not None:
+            silent_ms = now_ms - self._state.heard_ms
+        return MemberStatus(
+            member=self.name,
+            term=self.term,
+            role=self.role,
+            position=self.log.last,
+            lag_ms=self._state.lag_ms(now_ms),
+            upstream_silent_ms=silent_ms,
+            confirmed_index=self.confirmed_index,
+            pending=len(self.queue),
+            completed=self.completed,
+        )
+
+    def control(self, operation: ControlOperation, now_ms: int) -> ControlReply:
+        """Apply a control operation; `AwaitConfirmed` is answered at once, see `is_wait_over`."""
+        match operation:
+            case Fence():
+                self._fence(operation)
+            case Promote():
+                self._promote(operation, now_ms)
+            case Follow():
+                self._follow(operation, now_ms)
+            case Settle():
+                settled = self._settle(operation, now_ms)
+                if settled is not None:
+                    return settled
+            case _:
+                pass
+        return self.status(now_ms)
+
+    def is_wait_over(self, operation: AwaitConfirmed) -> bool:
+        """Return whether the index is confirmed or its term has ended here."""
+        if self.term != operation.term or self.role is not MemberRole.PRIMARY:
+            return True
+        return self.confirmed_index >= operation.index
+
+    def make_pull(self) -> PullEntries | None:
+        """Return the pull for the upstream, or None when the member follows nobody."""
+        if self.role is not MemberRole.REPLICA or self.upstream is None:
+            return None
+        return PullEntries(
+            replica=self.name,
+            term=self.term,
+            last=self.log.last,
+            ends=self.log.ends,
+            lag_ms=self.lag_ms,
+        )
+
+    def take_entries(self, pull: PullEntries, now_ms: int, waited_ms: int = 0) -> EntryBatch | None:
+        """Answer a replica's pull and note what it holds; None when not its primary."""
+        if (
+            self.role is not MemberRole.PRIMARY
+            or pull.term != self.term
+            or self._state.held is None
+        ):
+            return None
+        common = self.log.find_common_index(pull.ends)
+        self._state.held.note(pull.replica, common)
+        self._state.update_confirmed()
+        visible_ms = now_ms - pull.lag_ms
+        limit = MAX_BATCH_ENTRIES
+        entries = self.log.read_after(common, limit=limit, appended_by_ms=visible_ms)
+        return EntryBatch(
+            term=self.term,
+            last=pull.last,
+            common_index=common,
+            entries=entries,
+            confirmed_index=self.confirmed_index,
+            complete=len(entries) < limit,
+            waited_ms=waited_ms,
+        )
+
+    def receive_entries(self, batch: EntryBatch | None, sent_ms: int, now_ms: int) -> None:
+        """Append the entries of a pull that was sent at `sent_ms`; None when it failed."""
+        if batch is None or batch.term != self.term or self.role is not MemberRole.REPLICA:
+            return
+        self._state.heard_ms = now_ms
+        if batch.last != self.log.last:
+            return
+        self.log.truncate(batch.common_index)
+        for entry in batch.entries:
+            self.log.append(entry, now_ms)
+        known = min(batch.confirmed_index, self.log.last.index)
+        self._state.confirmed_index = max(self.confirmed_index, known)
+        if batch.complete:
+            fresh_ms = sent_ms + batch.waited_ms - self.lag_ms
+            self._state.fresh_ms = max(fresh_ms, self._state.fresh_ms or fresh_ms)
+
+    def _fence(self, operation: Fence) -> None:
+        if operation.term > self.term:
+            self._state.term = operation.term
+            self._take_role(MemberRole.FENCED)
+
+    def _promote(self, operation: Promote, now_ms: int) -> None:
+        if operation.term != self.term or self.role is not MemberRole.FENCED:
+            return
+        self._state.role = MemberRole.PRIMARY
+        start = self.log.append(LogEntry(term=self.term), now_ms)
+        self._state.held = HeldEntries(self.name, operation.members, start.index)
+        self._state.update_confirmed()
+
+    def _follow(self, operation: Follow, now_ms: int) -> None:
+        is_primary = operation.term == self.term and self.role is MemberRole.PRIMARY
+        if operation.term < self.term or is_primary or operation.primary == self.name:
+            return
+        if operation == self.upstream and self.role is MemberRole.REPLICA:
+            return
+        self._state.term = operation.term
+        self._take_role(MemberRole.REPLICA)
+        self._state.upstream = operation
+        self._state.heard_ms = now_ms
+
+    def _take_role(self, role: MemberRole) -> None:
+        self._state.take_role(role)
+        self.connections.end_all()
+
+    def _settle(self, operation: Settle, now_ms: int) -> Settled | None:
+        if operation.term != self.term or self.role is not MemberRole.PRIMARY:
+            return None
+        index = self.log.find_request(operation.request_id)
+        if index is None:
+            tombstone = LogEntry(term=self.term, request_id=operation.request_id, tombstone=True)
+            return Settled(ran=False, position=self._state.append(tombstone, now_ms))
+        entry = self.log.entry(index)
+        position = self.log.position(index)
+        return Settled(ran=not entry.tombstone, position=position, result=entry.result)
