Fix the JSON codec of messages with free values

Cause: JsonValue was a recursive alias, for which pydantic raises RecursionError, so that encode_message(StatementRequest(...)) never worked.

--- a/libs/messages/burdockrun_messages/models.py
+++ b/libs/messages/burdockrun_messages/models.py
@@ -2,9 +2,12 @@
 
 from dataclasses import dataclass, field
 
+import pydantic
+
 from burdockrun_messages.const import AckRule, GroupState
 
-JsonValue = None | bool | int | float | str | list["JsonValue"] | dict[str, "JsonValue"]
+# A recursive alias of our own makes pydantic raise RecursionError when it builds a codec.
+JsonValue = pydantic.JsonValue
 
 
 @dataclass(frozen=True, kw_only=True, slots=True, order=True)
