Add applying an accepted ticket from its text

Cause: The ticket feed of a node holds the text of an accepted ticket and the present configuration. Change: apply_ticket_text reads and applies in one step and reports a fault as text. Result: pytest tests/settings libs/settings: 33 passed.

--- a/libs/settings/burdockrun_settings/__init__.py
+++ b/libs/settings/burdockrun_settings/__init__.py
@@ -1,6 +1,7 @@
 """Settings and ticket files, checked as a whole, and the configuration that tickets form."""
 
 from burdockrun_settings.codec import (
+    apply_ticket_text,
     configuration_from_json,
     configuration_to_json,
     ticket_from_json,
@@ -37,6 +38,7 @@
     "StatsdSettings",
     "Ticket",
     "apply_ticket",
+    "apply_ticket_text",
     "check_against",
     "check_settings",
     "check_ticket",
--- a/libs/settings/burdockrun_settings/codec.py
+++ b/libs/settings/burdockrun_settings/codec.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from burdockrun_settings.models import Ticket
+from burdockrun_settings.tickets import apply_ticket
 
 _TICKETS: Final = TypeAdapter(Ticket)
 _CONFIGURATIONS: Final = TypeAdapter(Configuration)
@@ -40,3 +41,8 @@
         return Ok(_CONFIGURATIONS.validate_json(text))
     except ValidationError as error:
         return Err(describe_validation_error(error))
+
+
+def apply_ticket_text(configuration: Configuration, text: str) -> Result[Configuration, str]:
+    """Return the configuration after an accepted ticket in JSON text, or the faults found."""
+    return ticket_from_json(text).map(lambda ticket: apply_ticket(configuration, ticket))
--- a/tests/settings/test_tickets.py
+++ b/tests/settings/test_tickets.py
@@ -9,6 +9,7 @@
 from burdockrun_settings import (
     Ticket,
     apply_ticket,
+    apply_ticket_text,
     check_against,
     check_ticket,
     configuration_from_json,
@@ -172,6 +173,9 @@
     assert ticket_from_json(ticket_to_json(ticket)).unwrap() == ticket
     configuration = apply_ticket(Configuration(number=4), ticket)
     assert configuration_from_json(configuration_to_json(configuration)).unwrap() == configuration
+    assert (
+        apply_ticket_text(Configuration(number=4), ticket_to_json(ticket)).unwrap() == configuration
+    )
     assert ticket_from_json('{"author": 3}').is_err()
     assert configuration_from_json("[").is_err()
 
