--- a/libs/fleet/burdockrun_fleet/__init__.py
+++ b/libs/fleet/burdockrun_fleet/__init__.py
@@ -1,3 +1,26 @@
-"""Fleet library of burdockrun."""
+"""Fleet of proxy nodes: membership, homes, tickets, coordinators and the audit trail."""
 
-__all__: list[str] = []
+from burdockrun_fleet.agent import FleetAgent
+from burdockrun_fleet.audit import AuditTrail
+from burdockrun_fleet.homes import HomeTable, split_share
+from burdockrun_fleet.loader import snapshot_key, ticket_key
+from burdockrun_fleet.membership import Membership
+from burdockrun_fleet.models import InForce, SnapshotHead, SpreadOptions, TicketFormat
+from burdockrun_fleet.reports import audit_key
+from burdockrun_fleet.tickets import TicketFeed
+
+__all__ = [
+    "AuditTrail",
+    "FleetAgent",
+    "HomeTable",
+    "InForce",
+    "Membership",
+    "SnapshotHead",
+    "SpreadOptions",
+    "TicketFeed",
+    "TicketFormat",
+    "audit_key",
+    "snapshot_key",
+    "split_share",
+    "ticket_key",
+]
--- /dev/null
+++ b/libs/fleet/burdockrun_fleet/agent.py
@@ -0,0 +1,335 @@
+"""The part of a node that takes part in the fleet."""
+
+import random
+from collections.abc import Callable, Mapping, Sequence
+
+from burdockrun_messages import (
+    AuditPush,
+    Configuration,
+    Database,
+    Digest,
+    GroupRecord,
+    KeyEntry,
+    Member,
+    NodeInfo,
+    NodeState,
+    Outbox,
+    PeerMessage,
+    Ping,
+    PingAck,
+    PingRequest,
+    RolesReleased,
+    Roster,
+    RosterPush,
+    SnapshotPush,
+    TermsPull,
+    TermsPush,
+    TicketRecord,
+    TicketsPull,
+    TicketsPush,
+)
+
+from burdockrun_fleet.audit import AuditTrail
+from burdockrun_fleet.backoff import PlatformPort
+from burdockrun_fleet.campaign import Campaign
+from burdockrun_fleet.const import (
+    AUDIT_FLUSH_MS,
+    AUDIT_PUSH_ENTRIES,
+    MEMBER_IN,
+    MEMBER_OUT,
+    ROSTER_CHANGED,
+)
+from burdockrun_fleet.coordinator import Parts
+from burdockrun_fleet.evidence import Evidence
+from burdockrun_fleet.loader import read_records, read_ticket
+from burdockrun_fleet.membership import Membership
+from burdockrun_fleet.models import SpreadOptions, TicketFormat
+from burdockrun_fleet.orphan import OrphanLoader
+from burdockrun_fleet.records import RecordTable
+from burdockrun_fleet.roles import Role, RoleKeeper
+from burdockrun_fleet.rosters import RosterTable, shorten
+from burdockrun_fleet.tickets import TicketFeed
+from burdockrun_fleet.vms import VmView
+from burdockrun_fleet.witnesses import WitnessRounds
+
+# A burst of tickets is not pushed on one by one; digests make the others pull it.
+_PUSH_ON_LIMIT = 4
+
+
+class FleetAgent:
+    """Membership, homes, tickets, terms and audit trail of one node; also its `Directory`.
+
+    `wall_offset_ms` added to a time of the node gives the time since the epoch, for people to
+    read. Callbacks get the time in ms.
+    """
+
+    def __init__(
+        self,
+        node: NodeInfo,
+        seeds: Sequence[NodeInfo],
+        outbox: Outbox,
+        rng: random.Random,
+        ticket_format: TicketFormat,
+        *,
+        options: SpreadOptions | None = None,
+        wall_offset_ms: int = 0,
+    ) -> None:
+        self.node = node
+        self.on_configuration: Callable[[Configuration, int], None] | None = None
+        self.on_records: Callable[[Sequence[GroupRecord], int], None] | None = None
+        self._seeds = tuple(seeds)
+        self._outbox = outbox
+        self._options = options or SpreadOptions()
+        self._wall_offset_ms = wall_offset_ms
+        self._port = PlatformPort(outbox)
+        self._feed = TicketFeed(ticket_format, outbox)
+        self._feed.on_configuration = self._configured
+        self._records = RecordTable(outbox)
+        self._records.on_records = self._records_learned
+        self._rosters = RosterTable(node, outbox)
+        self._rosters.on_roster = self._roster_changed
+        self._evidence = Evidence(node)
+        self._roles = RoleKeeper(node, self._rosters, self._evidence, outbox)
+        self._vms = VmView(node)
+        self._trail = AuditTrail(node, outbox)
+        self._membership = Membership(node, outbox, rng, self._build_digest, self._peer_changed)
+        self._membership.on_ack = self._note_ack
+        parts = Parts(
+            node=node,
+            outbox=outbox,
+            rng=rng,
+            port=self._port,
+            feed=self._feed,
+            records=self._records,
+            rosters=self._rosters,
+            evidence=self._evidence,
+            vms=self._vms,
+            trail=self._trail,
+        )
+        self._campaign = Campaign(parts, self._membership)
+        self._campaign.on_tickets = self._take_ticket_entries
+        self._campaign.on_groups = self._take_group_entries
+        self._orphan = OrphanLoader(parts, self._membership, self._take_ticket_entries)
+        self._witnesses = WitnessRounds(parts, self._membership)
+        self._next_audit_ms = 0
+        self._now_ms = 0
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force on this node."""
+        return self._feed.configuration
+
+    @property
+    def records(self) -> Mapping[str, GroupRecord]:
+        """Return the known group records by database."""
+        return self._records.records
+
+    @property
+    def rosters(self) -> Mapping[str, Roster]:
+        """Return the known rosters by domain."""
+        return self._rosters.rosters
+
+    def start(self, now_ms: int) -> None:
+        """Begin to look for the other nodes."""
+        self._now_ms = now_ms
+        self._evidence.start(now_ms)
+        self._membership.start(self._seeds, now_ms)
+        self._campaign.start(now_ms)
+        self._orphan.start(now_ms)
+        self._witnesses.start(now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Do what is due."""
+        self._now_ms = now_ms
+        self._membership.tick(now_ms)
+        self._witnesses.tick(now_ms)
+        self._campaign.tick(now_ms, now_ms + self._wall_offset_ms)
+        self._orphan.tick(now_ms)
+        self._roles.tick(now_ms)
+        if now_ms >= self._next_audit_ms:
+            self._next_audit_ms = now_ms + AUDIT_FLUSH_MS
+            self._pass_audit_on(now_ms)
+
+    def receive(self, peer: str, message: PeerMessage, now_ms: int) -> None:
+        """Handle a peer message that is neither a forward nor a verdict."""
+        self._now_ms = now_ms
+        match message:
+            case Ping():
+                self._membership.receive_ping(message, now_ms)
+                self._compare(message.sender, message.digest, now_ms)
+            case PingAck():
+                self._membership.receive_ack(message, now_ms)
+                self._compare(message.sender, message.digest, now_ms)
+            case PingRequest():
+                self._membership.receive_request(peer, message, now_ms)
+            case TicketsPush():
+                self._take_tickets(message.tickets, peer, now_ms)
+            case SnapshotPush():
+                self._feed.receive_shard(message, now_ms)
+            case TermsPush():
+                self._take_records(message.records, peer, now_ms)
+            case RosterPush():
+                for roster in message.rosters:
+                    self._rosters.learn(roster, now_ms)
+            case RolesReleased():
+                self._roles.receive_release(peer, message, now_ms)
+            case _:
+                self._receive_other(peer, message)
+
+    def drain(self, now_ms: int) -> None:
+        """Leave the fleet; roles go to others once the roster has changed."""
+        self.audit("drain", now_ms)
+        self._campaign.resign(now_ms)
+        self._membership.leave(now_ms)
+        self._pass_audit_on(now_ms)
+
+    def pause(self, gap_ms: int, now_ms: int) -> None:
+        """Take account of a pause of the process: missed answers mean nothing."""
+        self._now_ms = now_ms
+        self._membership.pause()
+
+    def find_home(self, member: Member) -> NodeInfo | None:
+        """Return the node to which requests for a member go."""
+        home, standby = self._roles.homes.find(member)
+        if home is None:
+            return standby
+        if home.node == self.node.node and self._roles.held_role(member) is not Role.HOME:
+            return standby or home
+        if standby is None or self._membership.is_alive(home.node):
+            return home
+        return standby if self._membership.is_alive(standby.node) else home
+
+    def find_standby(self, member: Member) -> NodeInfo | None:
+        """Return the standby of a member."""
+        return self._roles.homes.find(member)[1]
+
+    def is_home(self, member: Member) -> bool:
+        """Return whether this node serves a member: as home, or as standby of a lost home."""
+        role = self._roles.held_role(member)
+        if role is Role.STANDBY:
+            home, _ = self._roles.homes.find(member)
+            return home is None or not self._membership.is_alive(home.node)
+        return role is Role.HOME
+
+    def list_nodes(self) -> Sequence[NodeInfo]:
+        """Return the live nodes, with this one."""
+        return (self.node, *self._membership.list_alive())
+
+    def connection_budget(self, database: Database, member: Member, now_ms: int) -> int:
+        """Return how many connections this node may have open to a member now."""
+        return self._roles.budget(database, member, now_ms)
+
+    def release_connections(self, member: Member, now_ms: int) -> None:
+        """Note that this node has closed its last connection to a member."""
+        self._roles.release(member, now_ms)
+
+    def share_record(self, record: GroupRecord, now_ms: int) -> None:
+        """Learn a group record from this node itself and spread it."""
+        self._take_records((record,), "", now_ms)
+
+    def audit(self, kind: str, now_ms: int, **fields: object) -> None:
+        """Record an event in the audit trail."""
+        self._trail.record(kind, now_ms + self._wall_offset_ms, fields)
+
+    def is_leaving(self, member: Member) -> bool:
+        """Return whether a ticket or the platform says that a member is leaving."""
+        roster = self._rosters.rosters.get(member.domain)
+        return member.leaving or (roster is not None and member.name in roster.leaving)
+
+    def _build_digest(self, now_ms: int) -> Digest:
+        rosters = self._rosters.own.values()
+        return Digest(
+            ticket=self._feed.number,
+            roster_epochs=self._rosters.epochs,
+            terms_hash=self._records.total_hash,
+            confirmed=self._evidence.list_confirmed(rosters, now_ms),
+            vouches=self._evidence.list_vouches(rosters, now_ms),
+            coordinator=self._campaign.coordinator,
+        )
+
+    def _note_ack(self, ack: PingAck, sent_ms: int, now_ms: int) -> None:
+        self._evidence.note_ack(ack, sent_ms, self._rosters.rosters)
+
+    def _compare(self, sender: NodeInfo, digest: Digest, now_ms: int) -> None:
+        peer = self._membership.peers.get(sender.node)
+        if peer is None:
+            return
+        peer.ticket = digest.ticket
+        peer.roster_epochs = digest.roster_epochs
+        self._campaign.note_digest(sender, digest, now_ms)
+        if not self._options.digest_pull:
+            return
+        self._feed.pull(sender, digest.ticket, now_ms)
+        self._rosters.answer_digest(sender, digest.roster_epochs)
+        self._records.compare(sender, digest.terms_hash, now_ms)
+
+    def _receive_other(self, peer: str, message: PeerMessage) -> None:
+        if isinstance(message, AuditPush):
+            self._trail.add(message.entries)
+            return
+        info = self._membership.find(peer)
+        if info is None:
+            return
+        if isinstance(message, TicketsPull):
+            self._feed.answer_pull(info, message)
+        elif isinstance(message, TermsPull):
+            self._records.answer_pull(info, message)
+
+    def _take_ticket_entries(self, entries: Sequence[KeyEntry], now_ms: int) -> None:
+        tickets = [ticket for entry in entries if (ticket := read_ticket(entry)) is not None]
+        self._take_tickets(tickets, "", now_ms)
+
+    def _take_tickets(self, tickets: Sequence[TicketRecord], peer: str, now_ms: int) -> None:
+        applied = self._feed.receive(tickets, now_ms)
+        if applied and len(applied) <= _PUSH_ON_LIMIT:
+            self._push(TicketsPush(tickets=tuple(applied)), peer)
+
+    def _take_group_entries(self, entries: Sequence[KeyEntry], now_ms: int) -> None:
+        self._take_records(read_records(entries, self._outbox), "", now_ms)
+
+    def _take_records(self, records: Sequence[GroupRecord], peer: str, now_ms: int) -> None:
+        newer = self._records.learn(records, now_ms)
+        if newer and len(newer) <= _PUSH_ON_LIMIT:
+            self._push(TermsPush(records=tuple(newer)), peer)
+
+    def _push(self, message: PeerMessage, without: str) -> None:
+        for info in self._membership.choose(self._options.fanout, without=without):
+            self._outbox.send_peer(info, message)
+
+    def _configured(self, configuration: Configuration, now_ms: int) -> None:
+        services = configuration.services.values()
+        members = [m for s in services for d in s.databases for m in d.members]
+        self._roles.set_members(members, now_ms)
+        if self.on_configuration is not None:
+            self.on_configuration(configuration, now_ms)
+
+    def _records_learned(self, records: Sequence[GroupRecord], now_ms: int) -> None:
+        if self.on_records is not None:
+            self.on_records(records, now_ms)
+
+    def _roster_changed(self, old: Roster | None, new: Roster, now_ms: int) -> None:
+        if old is not None:
+            self._evidence.move_on(old, new)
+        self._roles.roster_changed(old, new, now_ms)
+        self._membership.expect(new.nodes, now_ms)
+        self._witnesses.hasten(now_ms)
+        if new.domain != self.node.domain:
+            return
+        self._outbox.log(ROSTER_CHANGED, domain=new.domain, epoch=new.epoch, nodes=len(new.nodes))
+        short = shorten(new, new.previous or new.epoch)
+        self._push(RosterPush(rosters=(short,)), "")
+
+    def _peer_changed(self, info: NodeInfo, state: NodeState, now_ms: int) -> None:
+        event = MEMBER_IN if state is NodeState.ALIVE else MEMBER_OUT
+        self._outbox.log(event, node=info.node, domain=info.domain, state=state.value)
+        if self._campaign.is_coordinator(info.domain, now_ms):
+            self.audit(event.name, now_ms, node=info.node, state=state.value)
+
+    def _pass_audit_on(self, now_ms: int) -> None:
+        if not len(self._trail) or self._campaign.is_coordinator(self.node.domain, now_ms):
+            return
+        coordinator = self._membership.find(self._campaign.coordinator)
+        if coordinator is None or coordinator.node == self.node.node:
+            return
+        entries = tuple(self._trail.take(AUDIT_PUSH_ENTRIES))
+        self._outbox.send_peer(coordinator, AuditPush(entries=entries))
--- /dev/null
+++ b/libs/fleet/burdockrun_fleet/audit.py
@@ -0,0 +1,85 @@
+"""Audit trail that never holds up serving."""
+
+import json
+from collections import deque
+from collections.abc import Iterable
+
+from burdockrun_messages import AuditEntry, NodeInfo, Outbox
+
+from burdockrun_fleet.const import AUDIT_BATCH_BYTES, AUDIT_DROPPED, AUDIT_QUEUE, AUDIT_RECORDED
+
+
+class AuditTrail:
+    """Bounded queue of recorded events; the oldest fall out when it is full and are counted."""
+
+    def __init__(self, node: NodeInfo, outbox: Outbox, limit: int = AUDIT_QUEUE) -> None:
+        self.dropped = 0
+        self._node = node
+        self._outbox = outbox
+        self._limit = limit
+        self._queue: deque[AuditEntry] = deque()
+        self._reported = 0
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def record(self, kind: str, now_ms: int, fields: dict[str, object]) -> None:
+        """Write one event as a log event and queue it for the store."""
+        self._outbox.log(AUDIT_RECORDED, kind=kind, at_ms=now_ms, **fields)
+        text = json.dumps(fields, default=str)
+        self.add([AuditEntry(kind=kind, node=self._node.node, at_ms=now_ms, fields=text)])
+
+    def add(self, entries: Iterable[AuditEntry]) -> None:
+        """Queue events, also those of other nodes."""
+        for entry in entries:
+            if len(self._queue) >= self._limit:
+                self._queue.popleft()
+                self.dropped += 1
+                self._outbox.count("fleet.audit_dropped")
+            self._queue.append(entry)
+
+    def put_back(self, entries: Iterable[AuditEntry]) -> None:
+        """Return events that could not be passed on; they are the first to fall out."""
+        newer = list(self._queue)
+        self._queue.clear()
+        self.add(entries)
+        self.add(newer)
+
+    def take(self, count: int) -> list[AuditEntry]:
+        """Take up to `count` of the oldest events."""
+        self._report_dropped()
+        taken: list[AuditEntry] = []
+        size = 0
+        while self._queue and len(taken) < count:
+            # A quarter of the limit per entry at most, so that one long entry cannot block.
+            size += min(_measure(self._queue[0]), AUDIT_BATCH_BYTES // 4)
+            if size > AUDIT_BATCH_BYTES:
+                break
+            taken.append(_shorten(self._queue.popleft()))
+        return taken
+
+    def _report_dropped(self) -> None:
+        if self.dropped > self._reported:
+            self._outbox.log(AUDIT_DROPPED, dropped=self.dropped - self._reported)
+            self._reported = self.dropped
+
+
+def encode_batch(entries: Iterable[AuditEntry]) -> str:
+    """Return a batch as the JSON text that the store keeps."""
+    return json.dumps(
+        [
+            {"kind": e.kind, "node": e.node, "at_ms": e.at_ms, "fields": json.loads(e.fields)}
+            for e in entries
+        ]
+    )
+
+
+def _measure(entry: AuditEntry) -> int:
+    return len(encode_batch([entry]).encode())
+
+
+def _shorten(entry: AuditEntry) -> AuditEntry:
+    if _measure(entry) <= AUDIT_BATCH_BYTES // 4:
+        return entry
+    cut = json.dumps({"shortened": entry.fields[: AUDIT_BATCH_BYTES // 32]})
+    return AuditEntry(kind=entry.kind, node=entry.node, at_ms=entry.at_ms, fields=cut)
--- /dev/null
+++ b/libs/fleet/burdockrun_fleet/backoff.py
@@ -0,0 +1,81 @@
+"""Limits on calls to the platform."""
+
+import random
+
+from burdockrun_messages import (
+    OnPlatformReply,
+    Outbox,
+    PlatformFailure,
+    PlatformOperation,
+    PlatformReply,
+)
+
+from burdockrun_fleet.const import (
+    BACKOFF_MAX_MS,
+    BACKOFF_MIN_MS,
+    CALL_TIMEOUT_MS,
+    CALLS_BURST,
+    CALLS_PER_S,
+    PLATFORM_FAILED,
+)
+
+
+class Backoff:
+    """Exponential backoff with full jitter, from `BACKOFF_MIN_MS` to `BACKOFF_MAX_MS`."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._failures = 0
+        self._not_before_ms = 0
+
+    def is_ready(self, now_ms: int) -> bool:
+        """Return whether another try is due."""
+        return now_ms >= self._not_before_ms
+
+    def fail(self, now_ms: int) -> None:
+        """Note a failed try and choose the time of the next."""
+        cap = min(BACKOFF_MAX_MS, BACKOFF_MIN_MS << min(self._failures, 10))
+        self._failures += 1
+        self._not_before_ms = now_ms + self._rng.randint(1, cap)
+
+    def succeed(self) -> None:
+        """Note a success."""
+        self._failures = 0
+        self._not_before_ms = 0
+
+
+class PlatformPort:
+    """Calls the platform within a token bucket.
+
+    A call beyond the limit is refused at once, and the caller tries again at a later tick.
+    """
+
+    def __init__(self, outbox: Outbox) -> None:
+        self._outbox = outbox
+        self._tokens = float(CALLS_BURST)
+        self._filled_ms = 0
+
+    def call(
+        self,
+        operation: PlatformOperation,
+        on_reply: OnPlatformReply,
+        now_ms: int,
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> bool:
+        """Start a call; False means that the limit is reached and nothing was sent."""
+        elapsed = max(0, now_ms - self._filled_ms)
+        self._tokens = min(CALLS_BURST, self._tokens + elapsed * CALLS_PER_S / 1_000)
+        self._filled_ms = now_ms
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+
+        def finish(reply: PlatformReply, then_ms: int) -> None:
+            if isinstance(reply, PlatformFailure):
+                self._outbox.count("fleet.platform_failed")
+                kind = type(operation).__name__
+                self._outbox.log(PLATFORM_FAILED, operation=kind, reason=reply.reason)
+            on_reply(reply, then_ms)
+
+        self._outbox.call_platform(operation, timeout_ms=timeout_ms, on_reply=finish)
+        return True
--- /dev/null
+++ b/libs/fleet/burdockrun_fleet/campaign.py
@@ -0,0 +1,199 @@
+"""When a node coordinates its own domain, or one that has lost all its nodes."""
+
+from collections.abc import Callable, Mapping, Sequence
+
+from burdockrun_messages import Digest, KeyEntry, NodeInfo
+
+from burdockrun_fleet.const import (
+    ADOPT_AFTER_MS,
+    ADOPT_NODES,
+    CAMPAIGN_MAX_RANK,
+    CAMPAIGN_RANK_MS,
+    CAMPAIGN_SILENCE_MS,
+    LOOK_MS,
+    POLL_BATCH,
+    POLL_MS,
+    START_SPREAD_MS,
+)
+from burdockrun_fleet.coordinator import Coordinator, Parts
+from burdockrun_fleet.membership import Membership
+from burdockrun_fleet.rendezvous import hash_name, rank_nodes
+
+
+class Campaign:
+    """Coordinators that this node runs, and what it knows of its domain's coordinator."""
+
+    def __init__(self, parts: Parts, membership: Membership) -> None:
+        self.coordinator = ""
+        self.on_tickets: Callable[[Sequence[KeyEntry], int], None] | None = None
+        self.on_groups: Callable[[Sequence[KeyEntry], int], None] | None = None
+        self._parts = parts
+        self._membership = membership
+        self._domain = parts.node.domain
+        self._own = Coordinator(
+            self._domain, parts, self._list_own, self._find_in_force, self._epochs_of
+        )
+        self._own.on_tickets = self._pass_tickets
+        self._own.on_groups = self._pass_groups
+        self._adopted: dict[str, Coordinator] = {}
+        self._empty_since_ms: dict[str, int] = {}
+        self._heard_ms = 0
+        self._vacant_ms: int | None = None
+        self._not_before_ms = 0
+        self._next_poll_ms = 0
+        self._next_look_ms = 0
+        self._polled_number = -1
+        self._poll_from_ms = 0
+
+    def start(self, now_ms: int) -> None:
+        """Begin; after a start of the whole fleet the attempts are spread over some seconds."""
+        self._not_before_ms = now_ms + self._parts.rng.randint(0, START_SPREAD_MS)
+
+    def is_coordinator(self, domain: str, now_ms: int) -> bool:
+        """Return whether this node coordinates a domain now."""
+        if domain == self._domain:
+            return self._own.lease.holds(now_ms)
+        adopted = self._adopted.get(domain)
+        return adopted is not None and adopted.lease.holds(now_ms)
+
+    def note_digest(self, sender: NodeInfo, digest: Digest, now_ms: int) -> None:
+        """Learn from a peer of the same domain who coordinates it."""
+        age_ms = digest.confirmed.get(self._domain)
+        if sender.domain != self._domain or age_ms is None or not digest.coordinator:
+            return
+        if now_ms - age_ms >= self._heard_ms:
+            self._heard_ms = now_ms - age_ms
+            if not self._own.lease.holds(now_ms):
+                self.coordinator = digest.coordinator
+
+    def tick(self, now_ms: int, wall_ms: int) -> None:
+        """Run the coordinators and look for domains without one."""
+        self._own.tick(now_ms, wanted=self._is_wanted(now_ms), wall_ms=wall_ms)
+        if self._own.lease.holds(now_ms):
+            self.coordinator = self._parts.node.node
+            self._heard_ms = now_ms
+            self._poll(now_ms)
+            self._look_for_empty(now_ms)
+        elif self._own.lease.holder:
+            self.coordinator = self._own.lease.holder
+            self._own.lease.holder = ""
+            self._heard_ms = now_ms
+        elif self.coordinator == self._parts.node.node:
+            self.coordinator = ""
+        for domain, adopted in list(self._adopted.items()):
+            held = adopted.lease.holds(now_ms)
+            adopted.tick(now_ms, wanted=self._own.lease.holds(now_ms), wall_ms=wall_ms)
+            if domain not in self._empty_since_ms or (held and not adopted.lease.holds(now_ms)):
+                adopted.lease.resign(now_ms)
+                del self._adopted[domain]
+
+    def resign(self, now_ms: int) -> None:
+        """Give up all leases."""
+        self._own.lease.resign(now_ms)
+        for adopted in self._adopted.values():
+            adopted.lease.resign(now_ms)
+        self._adopted.clear()
+        self._not_before_ms = 1 << 60
+
+    def _is_wanted(self, now_ms: int) -> bool:
+        if now_ms < self._not_before_ms or self._own.lease.holds(now_ms):
+            return False
+        silent = now_ms - self._heard_ms >= 2 * CAMPAIGN_SILENCE_MS
+        known = self.coordinator and self.coordinator != self._parts.node.node
+        if known and not silent and self._membership.is_alive(self.coordinator):
+            self._vacant_ms = None
+            return False
+        if self._vacant_ms is None:
+            self._vacant_ms = now_ms
+        names = [info.node for info in self._list_own()]
+        own_hash = hash_name(self._parts.node.node)
+        rank = min(sum(hash_name(name) < own_hash for name in names), CAMPAIGN_MAX_RANK)
+        return now_ms - self._vacant_ms >= rank * CAMPAIGN_RANK_MS
+
+    def _list_own(self) -> tuple[NodeInfo, ...]:
+        alive = [i for i in self._membership.list_alive() if i.domain == self._domain]
+        if not self._membership.leaving:
+            alive.append(self._parts.node)
+        staying = (info for info in alive if not self._parts.vms.is_leaving(info.node))
+        return tuple(sorted(staying, key=lambda info: info.node))
+
+    def _list_substitutes(self, domain: str) -> tuple[NodeInfo, ...]:
+        nodes = {info.node: info for info in self._membership.list_alive()}
+        nodes[self._parts.node.node] = self._parts.node
+        chosen = rank_nodes(f"adopt/{domain}", nodes, ADOPT_NODES)
+        return tuple(nodes[name] for name in sorted(chosen))
+
+    def _find_in_force(self) -> tuple[int, int]:
+        numbers = [self._parts.feed.number]
+        for info in self._list_own():
+            peer = self._membership.peers.get(info.node)
+            if peer is not None:
+                numbers.append(peer.ticket)
+        return min(numbers), len(numbers)
+
+    def _epochs_of(self, name: str) -> Mapping[str, int] | None:
+        if name == self._parts.node.node:
+            return self._parts.rosters.epochs
+        peer = self._membership.peers.get(name)
+        return peer.roster_epochs if peer is not None else None
+
+    def _poll(self, now_ms: int) -> None:
+        """Ask nodes whose ticket or roster epoch is not known to be current."""
+        if now_ms < self._next_poll_ms:
+            return
+        self._next_poll_ms = now_ms + POLL_MS
+        number = self._parts.feed.number
+        if number != self._polled_number:
+            # Nodes need about a second to get the ticket; asking earlier would be repeated.
+            self._polled_number = number
+            self._poll_from_ms = now_ms + 2 * POLL_MS
+        wanted: dict[str, NodeInfo] = {}
+        for domain in (self._domain, *self._adopted):
+            roster = self._parts.rosters.rosters.get(domain)
+            if roster is not None and not roster.sealed:
+                unmoved = self._own.writer.list_unmoved(roster, now_ms)
+                wanted.update((info.node, info) for info in unmoved)
+        if now_ms >= self._poll_from_ms:
+            for info in self._list_own():
+                peer = self._membership.peers.get(info.node)
+                if peer is not None and peer.ticket < number:
+                    wanted[info.node] = info
+        wanted.pop(self._parts.node.node, None)
+        reachable = [info for info in wanted.values() if self._membership.is_alive(info.node)]
+        chosen = self._parts.rng.sample(reachable, min(POLL_BATCH, len(reachable)))
+        for info in chosen:
+            self._membership.send_ping(info, now_ms)
+
+    def _look_for_empty(self, now_ms: int) -> None:
+        if now_ms < self._next_look_ms:
+            return
+        self._next_look_ms = now_ms + LOOK_MS
+        alive = {info.domain for info in self._membership.list_alive()} | {self._domain}
+        for domain, roster in self._parts.rosters.rosters.items():
+            if domain in alive:
+                self._empty_since_ms.pop(domain, None)
+                continue
+            since_ms = self._empty_since_ms.setdefault(domain, now_ms)
+            if domain in self._adopted or now_ms - since_ms < ADOPT_AFTER_MS:
+                continue
+            vms = self._parts.vms
+            if all(vms.is_gone(i.node, now_ms) for i in roster.nodes if i.domain == domain):
+                self._adopt(domain)
+
+    def _adopt(self, domain: str) -> None:
+        self._adopted[domain] = Coordinator(
+            domain,
+            self._parts,
+            lambda: self._list_substitutes(domain),
+            self._find_in_force,
+            self._epochs_of,
+            whole=False,
+        )
+
+    def _pass_tickets(self, entries: Sequence[KeyEntry], now_ms: int) -> None:
+        if self.on_tickets is not None:
+            self.on_tickets(entries, now_ms)
+
+    def _pass_groups(self, entries: Sequence[KeyEntry], now_ms: int) -> None:
+        if self.on_groups is not None:
+            self.on_groups(entries, now_ms)
--- /dev/null
+++ b/libs/fleet/burdockrun_fleet/const.py
@@ -0,0 +1,115 @@
+"""Limits, periods, keys and log events of the fleet."""
+
+from typing import Final
+
+from burdockrun_base import Level, define_event
+
+PING_PERIOD_MS: Final = 1_000
+# Longer than a round trip between regions, so an indirect probe is the exception.
+INDIRECT_AFTER_MS: Final = 300
+PROBE_TIMEOUT_MS: Final = 900
+SUSPECT_MS: Final = 3_000
+INDIRECT_PEERS: Final = 2
+MAX_UPDATES: Final = 6
+OTHER_DOMAIN_EVERY: Final = 4
+# A region may be away for an hour; its nodes are looked for a while longer.
+FORGET_DEAD_MS: Final = 2 * 3_600_000
+LOST_PING_MS: Final = 5_000
+JOIN_RETRY_MS: Final = 1_000
+JOIN_PEERS: Final = 3
+REPEAT_FACTOR: Final = 3
+
+PUSH_FANOUT: Final = 3
+PULL_RETRY_MS: Final = 500
+KEPT_TICKETS: Final = 256
+MAX_EARLY_TICKETS: Final = 256
+TICKETS_PER_PUSH: Final = 32
+TICKETS_PUSH_CHARS: Final = 48 * 1024
+# At most four bytes for each character of UTF-8 keep a shard within 256 KB.
+SHARD_CHARS: Final = 64 * 1024
+RETAINED_TICKETS: Final = 5_000
+SNAPSHOT_EVERY: Final = 500
+RECORD_BUCKETS: Final = 32
+RECORDS_PER_PUSH: Final = 100
+# Records in flight by push make hashes differ for a moment; only a lasting difference is pulled.
+RECORDS_SETTLE_MS: Final = 2_000
+
+LEASE_TTL_MS: Final = 6_000
+LEASE_RENEW_MS: Final = 2_000
+# Clock rates that differ by 1% are 60 ms apart in one TTL; a timer tick and a call add the rest.
+LEASE_MARGIN_MS: Final = 500
+CAMPAIGN_SILENCE_MS: Final = 6_500
+CAMPAIGN_RANK_MS: Final = 1_000
+CAMPAIGN_MAX_RANK: Final = 10
+START_SPREAD_MS: Final = 4_000
+CALL_TIMEOUT_MS: Final = 2_000
+WATCH_WAIT_MS: Final = 20_000
+WATCH_TIMEOUT_MS: Final = 25_000
+BACKOFF_MIN_MS: Final = 250
+BACKOFF_MAX_MS: Final = 30_000
+CALLS_PER_S: Final = 20
+CALLS_BURST: Final = 20
+VM_LIST_MS: Final = 1_000
+ROSTER_READ_MS: Final = 2_000
+ROSTER_CHECK_MS: Final = 500
+ROSTER_BATCH_MS: Final = 1_000
+# Evidence for a new generation takes about 5 s to build up; faster changes would starve it.
+ROSTER_MIN_GAP_MS: Final = 10_000
+VM_GONE_MS: Final = 60_000
+IN_FORCE_CHECK_MS: Final = 1_000
+POLL_MS: Final = 500
+POLL_BATCH: Final = 50
+ORPHAN_LOAD_MS: Final = 4_000
+ADOPT_AFTER_MS: Final = 15_000
+LOOK_MS: Final = 1_000
+ADOPT_NODES: Final = 24
+
+EVIDENCE_MS: Final = 8_000
+# Two seconds longer than EVIDENCE_MS: clock rates, and the time to close connections.
+ROLE_LAPSE_MS: Final = 10_000
+WITNESSES: Final = 3
+WITNESS_PING_MS: Final = 2_000
+EVIDENCE_READ_AFTER_MS: Final = 5_000
+
+AUDIT_QUEUE: Final = 1_000
+AUDIT_FLUSH_MS: Final = 2_000
+AUDIT_PUSH_ENTRIES: Final = 50
+AUDIT_BATCH_ENTRIES: Final = 200
+AUDIT_BATCH_BYTES: Final = 64 * 1024
+AUDIT_KEPT_BATCHES: Final = 200
+
+TICKET_PREFIX: Final = "tickets/"
+TICKET_HEAD: Final = "tickets/head"
+SNAPSHOT_PREFIX: Final = "snapshots/"
+SNAPSHOT_HEAD: Final = "snapshots/head"
+GROUP_PREFIX: Final = "groups/"
+ROSTER_PREFIX: Final = "rosters/"
+IN_FORCE_PREFIX: Final = "in_force/"
+COORDINATOR_PREFIX: Final = "coordinators/"
+AUDIT_PREFIX: Final = "audit/"
+AUDIT_HEAD_PREFIX: Final = "audit_heads/"
+ENTRY_VM: Final = "entry"
+
+MEMBER_IN = define_event(601, "fleet_member_in", Level.INFO, "a node joined the fleet")
+MEMBER_OUT = define_event(602, "fleet_member_out", Level.INFO, "a node was declared dead")
+LEASE_TAKEN = define_event(603, "fleet_lease_taken", Level.INFO, "this node coordinates a domain")
+LEASE_LOST = define_event(604, "fleet_lease_lost", Level.WARNING, "this node lost a domain's lease")
+TICKET_IN_FORCE = define_event(605, "fleet_ticket_in_force", Level.INFO, "a ticket is in force")
+TICKET_UNUSABLE = define_event(
+    606, "fleet_ticket_unusable", Level.ERROR, "a committed ticket is invalid and changes nothing"
+)
+ROSTER_CHANGED = define_event(607, "fleet_roster_changed", Level.INFO, "a domain has a new roster")
+PLATFORM_FAILED = define_event(608, "fleet_platform_failed", Level.WARNING, "a call failed")
+SNAPSHOT_UNUSABLE = define_event(
+    609, "fleet_snapshot_unusable", Level.ERROR, "a snapshot could not be read"
+)
+AUDIT_RECORDED = define_event(610, "fleet_audit", Level.INFO, "an event of the audit trail")
+AUDIT_DROPPED = define_event(
+    611, "fleet_audit_dropped", Level.WARNING, "old events fell out of the audit queue"
+)
+RECORD_UNUSABLE = define_event(
+    612, "fleet_record_unusable", Level.ERROR, "a value in the store could not be read"
+)
+EVIDENCE_LOST = define_event(
+    613, "fleet_evidence_lost", Level.WARNING, "this node gave up its roles in a domain"
+)
--- /dev/null
+++ b/libs/fleet/burdockrun_fleet/records.py
@@ -0,0 +1,75 @@
+"""Group records known to this node and their spreading."""
+
+from collections.abc import Callable, Sequence
+
+from burdockrun_messages import GroupRecord, GroupState, NodeInfo, Outbox, TermsPull, TermsPush
+
+from burdockrun_fleet.const import RECORD_BUCKETS, RECORDS_PER_PUSH, RECORDS_SETTLE_MS
+from burdockrun_fleet.rendezvous import hash_name
+
+
+def _order(record: GroupRecord) -> tuple[int, bool, int]:
+    return record.term, record.state is GroupState.ACTIVE, record.revision
+
+
+def _hash_record(record: GroupRecord) -> int:
+    active = record.state is GroupState.ACTIVE
+    return hash_name(f"{record.database}/{record.term}/{active}") >> 16
+
+
+class RecordTable:
+    """Newest known record of each database group, with hashes to find differences."""
+
+    def __init__(self, outbox: Outbox) -> None:
+        self.records: dict[str, GroupRecord] = {}
+        self.total_hash = 0
+        self.on_records: Callable[[Sequence[GroupRecord], int], None] | None = None
+        self._outbox = outbox
+        self._hashes = [0] * RECORD_BUCKETS
+        self._changed_ms = 0
+        self._next_pull_ms = 0
+
+    def learn(self, records: Sequence[GroupRecord], now_ms: int) -> list[GroupRecord]:
+        """Take over the records that are newer and return them."""
+        newer = [record for record in records if self._take(record)]
+        if newer:
+            self._changed_ms = now_ms
+            if self.on_records is not None:
+                self.on_records(newer, now_ms)
+        return newer
+
+    def compare(self, peer: NodeInfo, terms_hash: int, now_ms: int) -> None:
+        """Ask a peer for its records when the difference has lasted."""
+        if terms_hash == self.total_hash or now_ms < self._next_pull_ms:
+            return
+        if self.records and now_ms - self._changed_ms < RECORDS_SETTLE_MS:
+            return
+        self._next_pull_ms = now_ms + RECORDS_SETTLE_MS
+        self._outbox.send_peer(peer, TermsPull(hashes=tuple(self._hashes)))
+
+    def answer_pull(self, peer: NodeInfo, pull: TermsPull) -> None:
+        """Send the records that a peer asks for."""
+        chosen = [record for record in self.records.values() if self._is_asked(record, pull)]
+        for at in range(0, len(chosen), RECORDS_PER_PUSH):
+            push = TermsPush(records=tuple(chosen[at : at + RECORDS_PER_PUSH]))
+            self._outbox.send_peer(peer, push)
+
+    def _is_asked(self, record: GroupRecord, pull: TermsPull) -> bool:
+        if pull.databases and record.database not in pull.databases:
+            return False
+        if len(pull.hashes) != RECORD_BUCKETS:
+            return True
+        bucket = hash_name(record.database) % RECORD_BUCKETS
+        return pull.hashes[bucket] != self._hashes[bucket]
+
+    def _take(self, record: GroupRecord) -> bool:
+        known = self.records.get(record.database)
+        if known is not None and _order(record) <= _order(known):
+            return False
+        change = _hash_record(record)
+        if known is not None:
+            change ^= _hash_record(known)
+        self.records[record.database] = record
+        self.total_hash ^= change
+        self._hashes[hash_name(record.database) % RECORD_BUCKETS] ^= change
+        return True
--- /dev/null
+++ b/libs/fleet/burdockrun_fleet/roster_writer.py
@@ -0,0 +1,197 @@
+"""Keeping of a domain's roster by its coordinator."""
+
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+
+from burdockrun_messages import (
+    GetKey,
+    KeyEntry,
+    NodeInfo,
+    Outbox,
+    PlatformReply,
+    PutKey,
+    PutReply,
+    Roster,
+    decode_message,
+    encode_message,
+)
+from result import Err
+
+from burdockrun_fleet.backoff import Backoff, PlatformPort
+from burdockrun_fleet.const import (
+    RECORD_UNUSABLE,
+    ROSTER_BATCH_MS,
+    ROSTER_CHECK_MS,
+    ROSTER_MIN_GAP_MS,
+    ROSTER_PREFIX,
+    ROSTER_READ_MS,
+)
+from burdockrun_fleet.evidence import Evidence, find_supported
+from burdockrun_fleet.rosters import RosterTable, list_previous, next_generation
+from burdockrun_fleet.vms import VmView
+
+
+class RosterReader:
+    """Reads one roster from the platform, which also confirms it."""
+
+    def __init__(
+        self,
+        domain: str,
+        *,
+        port: PlatformPort,
+        table: RosterTable,
+        evidence: Evidence,
+        outbox: Outbox,
+        rng: random.Random,
+    ) -> None:
+        self.revision: int | None = None
+        self.waiting = False
+        self._domain = domain
+        self._port = port
+        self._table = table
+        self._evidence = evidence
+        self._outbox = outbox
+        self._backoff = Backoff(rng)
+
+    def read(self, now_ms: int) -> None:
+        """Start a read unless one is outstanding or the last failure was too recent."""
+        if self.waiting or not self._backoff.is_ready(now_ms):
+            return
+
+        def finish(reply: PlatformReply, then_ms: int) -> None:
+            self.waiting = False
+            if not isinstance(reply, KeyEntry):
+                self._backoff.fail(then_ms)
+                return
+            self._backoff.succeed()
+            if self.take(reply, then_ms):
+                self._evidence.note_platform(self._domain, now_ms)
+
+        operation = GetKey(key=ROSTER_PREFIX + self._domain)
+        self.waiting = self._port.call(operation, finish, now_ms)
+
+    def take(self, entry: KeyEntry, now_ms: int) -> bool:
+        """Learn the roster in a store entry; return whether there is one."""
+        self.revision = entry.revision
+        if entry.revision == 0:
+            return False
+        roster = decode_message(Roster, entry.value)
+        if isinstance(roster, Err):
+            self._outbox.log(RECORD_UNUSABLE, key=entry.key, reason=roster.err_value)
+            return False
+        self._table.learn(roster.ok_value, now_ms)
+        return True
+
+
+class RosterWriter:
+    """Writes the roster when nodes come and go, and seals each generation.
+
+    The next generation is written only after the present one is sealed. It is sealed once no node
+    of the generation before that has neither moved on nor left the platform's VM list can gather
+    evidence any more.
+    """
+
+    def __init__(
+        self,
+        domain: str,
+        *,
+        port: PlatformPort,
+        table: RosterTable,
+        reader: RosterReader,
+        vms: VmView,
+        may_act: Callable[[int], bool],
+    ) -> None:
+        self.epochs_of: Callable[[str], Mapping[str, int] | None] = _no_epochs
+        self._domain = domain
+        self._port = port
+        self._table = table
+        self._reader = reader
+        self._vms = vms
+        self._may_act = may_act
+        self._waiting = False
+        self._next_check_ms = 0
+        self._next_read_ms = 0
+        self._differs_since_ms: int | None = None
+        self._changed_ms: int | None = None
+
+    def restart(self, now_ms: int) -> None:
+        """Begin a tenure with a read."""
+        self._reader.revision = None
+        self._waiting = False
+        self._differs_since_ms = None
+        self._next_read_ms = now_ms
+
+    def tick(self, nodes: Callable[[], tuple[NodeInfo, ...]], now_ms: int) -> None:
+        """Read, change or seal the roster as is due; `nodes` gives the live nodes by name."""
+        if now_ms >= self._next_read_ms:
+            self._next_read_ms = now_ms + ROSTER_READ_MS
+            self._reader.read(now_ms)
+        if now_ms < self._next_check_ms or self._waiting or self._reader.revision is None:
+            return
+        self._next_check_ms = now_ms + ROSTER_CHECK_MS
+        roster = self._table.rosters.get(self._domain)
+        if (roster is None) != (self._reader.revision == 0):
+            return
+        leaving = self._vms.list_leaving(self._domain)
+        if roster is not None and roster.leaving != leaving:
+            self._put(replace(roster, epoch=roster.epoch + 1, leaving=leaving), now_ms)
+        elif roster is not None and not roster.sealed:
+            if not find_supported(self._list_names(roster, now_ms), list_previous(roster)):
+                self._put(replace(roster, epoch=roster.epoch + 1, sealed=True), now_ms)
+        else:
+            self._change(roster, nodes(), now_ms)
+
+    def list_unmoved(self, roster: Roster, now_ms: int) -> list[NodeInfo]:
+        """Return the nodes of the generation before that are not known to have moved on."""
+        return [
+            info
+            for info in list_previous(roster)
+            if not self._has_moved(info.node, roster) and not self._vms.is_gone(info.node, now_ms)
+        ]
+
+    def _list_names(self, roster: Roster, now_ms: int) -> list[str]:
+        return [info.node for info in self.list_unmoved(roster, now_ms)]
+
+    def _change(self, roster: Roster | None, nodes: tuple[NodeInfo, ...], now_ms: int) -> None:
+        if not nodes or (roster is not None and roster.nodes == nodes):
+            self._differs_since_ms = None
+            return
+        if self._differs_since_ms is None:
+            self._differs_since_ms = now_ms
+        if roster is not None and now_ms - self._differs_since_ms < ROSTER_BATCH_MS:
+            return
+        if self._changed_ms is not None and now_ms - self._changed_ms < ROSTER_MIN_GAP_MS:
+            return
+        self._differs_since_ms = None
+        self._changed_ms = now_ms
+        following = next_generation(roster, self._domain, nodes)
+        self._put(replace(following, leaving=self._vms.list_leaving(self._domain)), now_ms)
+
+    def _has_moved(self, name: str, roster: Roster) -> bool:
+        epochs = self.epochs_of(name)
+        return epochs is not None and epochs.get(self._domain, 0) >= roster.since
+
+    def _put(self, roster: Roster, now_ms: int) -> None:
+        if not self._may_act(now_ms):
+            return
+
+        def finish(reply: PlatformReply, then_ms: int) -> None:
+            self._waiting = False
+            if not isinstance(reply, PutReply):
+                self._reader.revision = None
+                self._next_read_ms = then_ms
+                return
+            self._reader.take(reply.entry, then_ms)
+
+        operation = PutKey(
+            key=ROSTER_PREFIX + self._domain,
+            value=encode_message(roster).decode(),
+            expected_revision=self._reader.revision,
+        )
+        self._waiting = self._port.call(operation, finish, now_ms)
+
+
+def _no_epochs(name: str) -> Mapping[str, int] | None:
+    """Know nothing of any node."""
+    return None
--- /dev/null
+++ b/libs/fleet/burdockrun_fleet/simulation.py
@@ -0,0 +1,268 @@
+"""Virtual-time fleet: agents, lossy links and a platform that can fail."""
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from burdockrun_messages import (
+    CallPlatform,
+    KeysReply,
+    NodeInfo,
+    Outbox,
+    PeerMessage,
+    PlatformAnswered,
+    PlatformFailure,
+    PlatformOperation,
+    PlatformReply,
+    RecordLog,
+    SendPeer,
+    VmEntry,
+    WatchKeys,
+    decode_message,
+    encode_message,
+)
+from burdockrun_platform import KeyValueStore
+
+from burdockrun_fleet.agent import FleetAgent
+from burdockrun_fleet.models import SpreadOptions, TicketFormat
+
+TICK_MS = 50
+
+
+@dataclass(slots=True)
+class SimNode:
+    """Node of the simulation; a paused one handles its events after the pause."""
+
+    info: NodeInfo
+    agent: FleetAgent
+    outbox: Outbox
+    running: bool = True
+    paused_until_ms: int = 0
+    sent_bytes: int = 0
+    sent_messages: int = 0
+    received_bytes: int = 0
+    platform_calls: int = 0
+    logged: Counter[str] = field(default_factory=Counter)
+
+
+@dataclass(kw_only=True, slots=True)
+class Network:
+    """Conditions of the simulation, to be changed while it runs.
+
+    `blocks` says whether a message between two nodes is lost, `platform_blocks` whether a node
+    cannot reach the platform. `lost_answers` is the share of platform calls that take effect but
+    whose answer is lost.
+    """
+
+    loss: float = 0.0
+    near_ms: int = 1
+    far_ms: int = 5
+    platform_ms: int = 3
+    platform_up: bool = True
+    lost_answers: float = 0.0
+    blocks: Callable[[NodeInfo, NodeInfo], bool] = lambda a, b: False
+    platform_blocks: Callable[[NodeInfo], bool] = lambda a: False
+
+
+class Simulation:
+    """Runs agents on one virtual clock; the same seed gives the same run."""
+
+    def __init__(
+        self, seed: int, ticket_format: TicketFormat, options: SpreadOptions | None = None
+    ) -> None:
+        self.now_ms = 1_000
+        self.rng = random.Random(seed)
+        self.store = KeyValueStore(vm_list_lag_ms=5_000)
+        self.network = Network()
+        self.nodes: dict[str, SimNode] = {}
+        self.calls_per_s: Counter[int] = Counter()
+        self.on_handled: Callable[[SimNode], None] | None = None
+        self.before_handling: Callable[[], None] | None = None
+        self._format = ticket_format
+        self._options = options
+        self._queue: list[tuple[int, int, Callable[[], None]]] = []
+        self._sequence = 0
+
+    def add(self, info: NodeInfo, seeds: Sequence[NodeInfo]) -> SimNode:
+        """Start a node, or start it again under the same name."""
+        outbox = Outbox()
+        rng = random.Random(self.rng.getrandbits(64))
+        agent = FleetAgent(info, seeds, outbox, rng, self._format, options=self._options)
+        node = self.nodes[info.node] = SimNode(info, agent, outbox)
+        self.list_vms()
+        agent.start(self.now_ms)
+        self._schedule(self.now_ms + rng.randint(1, TICK_MS), lambda: self._tick(node))
+        return node
+
+    def stop(self, name: str) -> None:
+        """Kill a node; its VM leaves the platform's list."""
+        self.nodes.pop(name).running = False
+        self.list_vms()
+
+    def pause(self, name: str, duration_ms: int) -> None:
+        """Keep a node from running for a while."""
+        node = self.nodes[name]
+        node.paused_until_ms = self.now_ms + duration_ms
+
+        def resume() -> None:
+            node.agent.pause(duration_ms, self.now_ms)
+
+        self._schedule(node.paused_until_ms, resume)
+
+    def list_vms(self, leaving: frozenset[str] = frozenset()) -> None:
+        """Put the running nodes into the platform's VM list."""
+        entries = [
+            VmEntry(
+                name=node.info.node,
+                domain=node.info.domain,
+                host=node.info.host,
+                port=node.info.port,
+                kind="entry",
+                leaving=node.info.node in leaving,
+            )
+            for node in self.nodes.values()
+        ]
+        self.store.set_vms(tuple(entries), self.now_ms)
+
+    def run(self, duration_ms: int, until: Callable[[], bool] | None = None) -> int:
+        """Advance the clock; stop early when `until` is true. Return the time taken in ms."""
+        start_ms = self.now_ms
+        end_ms = start_ms + duration_ms
+        while self._queue and self._queue[0][0] <= end_ms:
+            at_ms, _, action = heapq.heappop(self._queue)
+            if at_ms > self.now_ms:
+                self.now_ms = at_ms
+                if until is not None and until():
+                    return self.now_ms - start_ms
+            action()
+        self.now_ms = end_ms
+        return duration_ms
+
+    def write(self, operation: PlatformOperation) -> PlatformReply:
+        """Apply an operation to the store directly."""
+        return self.store.apply(operation, self.now_ms)
+
+    def call_at(self, delay_ms: int, action: Callable[[], None]) -> None:
+        """Run a function later."""
+        self._schedule(self.now_ms + delay_ms, action)
+
+    def perform(self, node: SimNode) -> None:
+        """Carry out what a node has asked for."""
+        for action in node.outbox.drain():
+            if isinstance(action, SendPeer):
+                self._send(node, action.peer, action.message)
+            elif isinstance(action, CallPlatform):
+                self._call(node, action)
+            elif isinstance(action, RecordLog):
+                node.logged[action.event.name] += 1
+
+    def _schedule(self, at_ms: int, action: Callable[[], None]) -> None:
+        self._sequence += 1
+        heapq.heappush(self._queue, (at_ms, self._sequence, action))
+
+    def _handle(self, node: SimNode, action: Callable[[], None]) -> None:
+        if not node.running:
+            return
+        if self.now_ms < node.paused_until_ms:
+            self._schedule(node.paused_until_ms, lambda: self._handle(node, action))
+            return
+        if self.before_handling is not None:
+            self.before_handling()
+        action()
+        self.perform(node)
+        if self.on_handled is not None:
+            self.on_handled(node)
+
+    def _tick(self, node: SimNode) -> None:
+        if not node.running:
+            return
+        self._handle(node, lambda: node.agent.tick(self.now_ms))
+        self._schedule(max(self.now_ms, node.paused_until_ms) + TICK_MS, lambda: self._tick(node))
+
+    def _send(self, node: SimNode, peer: NodeInfo, message: PeerMessage) -> None:
+        data = encode_message(message)
+        node.sent_bytes += len(data)
+        node.sent_messages += 1
+        network = self.network
+        if self.rng.random() < network.loss or network.blocks(node.info, peer):
+            return
+        near = peer.domain == node.info.domain
+        delay_ms = network.near_ms if near else network.far_ms
+        sender, kind = node.info.node, type(message)
+
+        def deliver() -> None:
+            target = self.nodes.get(peer.node)
+            if target is None or target.info != peer:
+                return
+            target.received_bytes += len(data)
+            self._handle(target, lambda: self._receive(target, sender, kind, data))
+
+        self._schedule(self.now_ms + delay_ms + self.rng.randint(0, 1), deliver)
+
+    def _receive(self, target: SimNode, sender: str, kind: type[PeerMessage], data: bytes) -> None:
+        target.agent.receive(sender, decode_message(kind, data).unwrap(), self.now_ms)
+
+    def _call(self, node: SimNode, call: CallPlatform) -> None:
+        node.platform_calls += 1
+        self.calls_per_s[self.now_ms // 1_000] += 1
+        network = self.network
+
+        def answer(reply: PlatformReply) -> None:
+            event = PlatformAnswered(call_id=call.call_id, reply=reply)
+            self._handle(node, lambda: node.outbox.finish_platform(event, self.now_ms))
+
+        def fail() -> None:
+            answer(PlatformFailure(reason="no answer"))
+
+        def arrive() -> None:
+            if not network.platform_up or network.platform_blocks(node.info):
+                self._schedule(self.now_ms + min(call.timeout_ms, 1_000), fail)
+                return
+            reply = self.store.apply(call.operation, self.now_ms)
+            if self.rng.random() < network.lost_answers:
+                self._schedule(self.now_ms + call.timeout_ms, fail)
+                return
+            if isinstance(call.operation, WatchKeys) and not _has_entries(reply):
+                self._watch(call.operation, self.now_ms + call.operation.wait_ms, answer, fail)
+                return
+            self._schedule(self.now_ms + network.platform_ms, lambda: answer(reply))
+
+        self._schedule(self.now_ms + network.platform_ms, arrive)
+
+    def _watch(
+        self,
+        watch: WatchKeys,
+        end_ms: int,
+        answer: Callable[[PlatformReply], None],
+        fail: Callable[[], None],
+    ) -> None:
+        def look() -> None:
+            if not self.network.platform_up:
+                fail()
+                return
+            reply = self.store.read_changes(watch.prefix, watch.after_revision)
+            if reply.entries or self.now_ms >= end_ms:
+                answer(reply)
+                return
+            self._schedule(self.now_ms + 20, look)
+
+        self._schedule(self.now_ms + 20, look)
+
+
+def _has_entries(reply: PlatformReply) -> bool:
+    return isinstance(reply, KeysReply) and bool(reply.entries)
+
+
+def place_nodes(count: int, domains: Sequence[str]) -> list[NodeInfo]:
+    """Return nodes spread evenly over domains."""
+    return [
+        NodeInfo(
+            node=f"proxy-{number:04d}",
+            domain=domains[number % len(domains)],
+            host=f"10.0.{number // 250}.{number % 250 + 1}",
+            port=7000,
+        )
+        for number in range(count)
+    ]
--- /dev/null
+++ b/libs/fleet/burdockrun_fleet/vms.py
@@ -0,0 +1,56 @@
+"""What the platform's lagging list says about VMs."""
+
+from collections.abc import Sequence
+
+from burdockrun_messages import NodeInfo, VmEntry
+
+from burdockrun_fleet.const import ENTRY_VM, VM_GONE_MS
+
+
+class VmView:
+    """Newest VM list, and since when each VM has been missing from it.
+
+    A VM that is missing for `VM_GONE_MS` counts as gone: it runs no process any more. A list
+    without this node itself is not believed in that respect.
+    """
+
+    def __init__(self, node: NodeInfo) -> None:
+        self._node = node
+        self._vms: dict[str, VmEntry] = {}
+        self._first_ms = 0
+        self._missing_since_ms: dict[str, int] = {}
+
+    def update(self, vms: Sequence[VmEntry], now_ms: int) -> None:
+        """Take over a newer list."""
+        before = self._vms
+        self._vms = {vm.name: vm for vm in vms}
+        if not before:
+            self._first_ms = now_ms
+        for name in before.keys() - self._vms.keys():
+            self._missing_since_ms[name] = now_ms
+        for name in self._vms.keys() & self._missing_since_ms.keys():
+            del self._missing_since_ms[name]
+
+    def is_gone(self, name: str, now_ms: int) -> bool:
+        """Return whether a VM has been missing long enough."""
+        if name in self._vms or self._node.node not in self._vms:
+            return False
+        return now_ms - self._missing_since_ms.get(name, self._first_ms) >= VM_GONE_MS
+
+    def is_leaving(self, name: str) -> bool:
+        """Return whether the platform is about to take a VM away."""
+        vm = self._vms.get(name)
+        return vm is not None and vm.leaving
+
+    def list_leaving(self, domain: str) -> tuple[str, ...]:
+        """Return the leaving VMs of a domain by name."""
+        found = (vm.name for vm in self._vms.values() if vm.leaving and vm.domain == domain)
+        return tuple(sorted(found))
+
+    def list_nodes(self) -> list[NodeInfo]:
+        """Return the proxy nodes in the list."""
+        return [
+            NodeInfo(node=vm.name, domain=vm.domain, host=vm.host, port=vm.port)
+            for vm in self._vms.values()
+            if vm.kind == ENTRY_VM and not vm.leaving
+        ]
--- a/libs/messages/burdockrun_messages/__init__.py
+++ b/libs/messages/burdockrun_messages/__init__.py
@@ -78,6 +78,8 @@
 )
 from burdockrun_messages.outbox import OnControlReply, OnPlatformReply, Outbox
 from burdockrun_messages.peers import (
+    AuditEntry,
+    AuditPush,
     Digest,
     Forward,
     ForwardAnswer,
@@ -90,9 +92,9 @@
     PingRequest,
     RolesReleased,
     Roster,
-    TaggedPeerMessage,
     RosterPush,
     SnapshotPush,
+    TaggedPeerMessage,
     TermsPull,
     TermsPush,
     TicketRecord,
@@ -134,6 +136,8 @@
     "Action",
     "ActiveTerm",
     "AskStatus",
+    "AuditEntry",
+    "AuditPush",
     "AwaitConfirmed",
     "CallControl",
     "CallPlatform",
@@ -216,8 +220,8 @@
     "Started",
     "StatementAnswer",
     "StatementRequest",
-    "TermStart",
     "TaggedPeerMessage",
+    "TermStart",
     "TermsPull",
     "TermsPush",
     "TicketRecord",
--- a/libs/messages/burdockrun_messages/peers.py
+++ b/libs/messages/burdockrun_messages/peers.py
@@ -1,6 +1,6 @@
 """Messages between proxy nodes."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Annotated, Literal
 
@@ -66,11 +66,19 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Digest:
-    """What a node knows, so that the other side can pull what it misses."""
+    """What a node knows, so that the other side can pull what it misses.
+
+    `confirmed` gives, for each domain whose roster lists the sender, how many ms ago the platform
+    is known to have held the sender's roster. `vouches` lists the domains for which the sender may
+    witness, each with the age in ms of its own evidence that its roster has not been replaced.
+    """
 
     ticket: int
     roster_epochs: dict[str, int]
     terms_hash: int
+    confirmed: dict[str, int] = field(default_factory=dict)
+    vouches: dict[str, int] = field(default_factory=dict)
+    coordinator: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -132,10 +140,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SnapshotPush:
-    """Whole configuration at ticket `number`, as JSON text."""
+    """Whole configuration at ticket `number`, as JSON text cut into `shards` parts."""
 
     number: int
     text: str
+    shard: int = 0
+    shards: int = 1
     kind: Literal["snapshot_push"] = "snapshot_push"
 
 
@@ -149,19 +159,36 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TermsPull:
-    """Asks for the group records of databases; no names means all."""
+    """Asks for the group records of databases; no names means all.
+
+    `hashes` holds one hash for each bucket of databases; equal buckets are left out of the answer.
+    """
 
     databases: tuple[str, ...] = ()
+    hashes: tuple[int, ...] = ()
     kind: Literal["terms_pull"] = "terms_pull"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Roster:
-    """Proxy nodes of a failure domain, as agreed under `epoch`."""
+    """Proxy nodes of a failure domain, as agreed under `epoch`.
+
+    A generation is the run of epochs with the same nodes: it began at epoch `since`, follows the
+    one that began at epoch `previous`, and differs from it by `added` and `removed`. It is `sealed`
+    when no holder of a role can renew its evidence for an earlier generation. `leaving` names
+    the VMs of the domain that the platform is about to take away. A `delta` leaves out `nodes`.
+    """
 
     domain: str
     epoch: int
     nodes: tuple[NodeInfo, ...]
+    since: int = 0
+    previous: int = 0
+    added: tuple[NodeInfo, ...] = ()
+    removed: tuple[NodeInfo, ...] = ()
+    sealed: bool = False
+    leaving: tuple[str, ...] = ()
+    delta: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -185,6 +212,24 @@
     kind: Literal["roles_released"] = "roles_released"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AuditEntry:
+    """Recorded event; `fields` is a JSON object."""
+
+    kind: str
+    node: str
+    at_ms: int
+    fields: str = "{}"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AuditPush:
+    """Recorded events for the coordinator of the sender's domain."""
+
+    entries: tuple[AuditEntry, ...]
+    kind: Literal["audit_push"] = "audit_push"
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Verdict:
     """Opinion of the home of `observer` about the primary of `database` in `term`."""
@@ -211,6 +256,7 @@
     | TermsPull
     | RosterPush
     | RolesReleased
+    | AuditPush
     | Verdict
 )
 
--- /dev/null
+++ b/tests/fleet/common.py
@@ -0,0 +1,87 @@
+"""Shared parts of the tests of the fleet library."""
+
+from burdockrun_fleet import TicketFormat
+from burdockrun_fleet.simulation import Simulation, place_nodes
+from burdockrun_messages import (
+    Configuration,
+    Database,
+    Member,
+    NodeInfo,
+    PutKey,
+    Rank,
+    Service,
+)
+from burdockrun_settings import (
+    Ticket,
+    apply_ticket,
+    configuration_from_json,
+    configuration_to_json,
+    ticket_from_json,
+    ticket_to_json,
+)
+from result import Err, Ok, Result
+
+DOMAINS = ("aug", "muc", "nbg", "rgb")
+RANK = Rank(name="urgent", order=0, target_ms=100, worth=1.0, floor=0.5)
+
+
+def apply_text(configuration: Configuration, text: str) -> Result[Configuration, str]:
+    """Apply the text of a ticket."""
+    ticket = ticket_from_json(text)
+    return ticket if isinstance(ticket, Err) else Ok(apply_ticket(configuration, ticket.ok_value))
+
+
+FORMAT = TicketFormat(apply=apply_text, dump=configuration_to_json, load=configuration_from_json)
+
+
+def make_database(number: int, connections: int = 16) -> Database:
+    """Return a database with three members in three domains."""
+    members = tuple(
+        Member(
+            name=f"db-{number}-{place}",
+            domain=DOMAINS[(number + place) % len(DOMAINS)],
+            host="10.1.0.1",
+            port=10_000 + 3 * number + place,
+            control_port=20_000 + 3 * number + place,
+        )
+        for place in range(3)
+    )
+    return Database(name=f"db-{number}", members=members, connections=connections, slots=2)
+
+
+def make_ticket(number: int, databases: int = 2) -> str:
+    """Return the text of a ticket that sets one service."""
+    chosen = tuple(make_database(number * 100 + at) for at in range(databases))
+    service = Service(name=f"s-{number}", account="account", ranks=(RANK,), databases=chosen)
+    return ticket_to_json(
+        Ticket(
+            author="operator",
+            reason="test",
+            services={service.name: service},
+            submission_id=f"submission-{number}",
+        )
+    )
+
+
+def put_tickets(simulation: Simulation, first: int, last: int, databases: int = 2) -> None:
+    """Write tickets to the store as an operator's client does."""
+    for number in range(first, last + 1):
+        text = make_ticket(number, databases)
+        key = f"tickets/{number:010d}"
+        simulation.write(PutKey(key=key, value=text, expected_revision=0))
+
+
+def start_fleet(seed: int, count: int, domains: tuple[str, ...] = DOMAINS) -> Simulation:
+    """Return a running fleet with one ticket in force."""
+    simulation = Simulation(seed, FORMAT)
+    put_tickets(simulation, 1, 1)
+    nodes: list[NodeInfo] = place_nodes(count, domains)
+    for info in nodes:
+        simulation.add(info, nodes[:3])
+    simulation.run(20_000)
+    return simulation
+
+
+def numbers_in_force(simulation: Simulation) -> set[int]:
+    """Return the ticket numbers in force over all nodes."""
+    return {node.agent.configuration.number for node in simulation.nodes.values()}
