Add the load program

Cause: The measures of a running proxy need a load whose latencies count from the intended sending. Change: burdockrun-load drives proxies over /v1/stream and a member over /v1/session, with Poisson arrivals or closed-loop callers, and writes report.json, plots and report.html. It also checks that sessions read their own writes and that additions do not run twice.

--- a/libs/load/burdockrun_load/__init__.py
+++ b/libs/load/burdockrun_load/__init__.py
@@ -1,3 +1,17 @@
-"""Load library of burdockrun."""
+"""Load on running proxies: timed arrivals, histograms and reports."""
 
-__all__: list[str] = []
+from burdockrun_load.recorder import Recorder
+from burdockrun_load.scenario import Arrival, Scenario, check_scenario, list_arrivals, load_scenario
+from burdockrun_load.sessions import Call, Session, SessionPool
+
+__all__ = [
+    "Arrival",
+    "Call",
+    "Recorder",
+    "Scenario",
+    "Session",
+    "SessionPool",
+    "check_scenario",
+    "list_arrivals",
+    "load_scenario",
+]
--- /dev/null
+++ b/libs/load/burdockrun_load/program.py
@@ -0,0 +1,137 @@
+"""Program `burdockrun-load`."""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import logging as standard_logging
+import random
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import aiohttp
+from absl import logging
+from burdockrun_base import EventLog
+from result import Err
+
+from burdockrun_load.arguments import build_parser
+from burdockrun_load.const import (
+    EVENT_INTERNAL_FAULT,
+    EVENT_LOAD_FINISHED,
+    EVENT_LOAD_STARTED,
+    EVENT_TARGET_UNREACHABLE,
+    EXIT_BAD_INPUT,
+    EXIT_DONE,
+    EXIT_UNREACHABLE,
+    EXIT_VIOLATION,
+)
+from burdockrun_load.direct import DirectTarget
+from burdockrun_load.driver import Driver
+from burdockrun_load.primaries import PrimaryWatch
+from burdockrun_load.recorder import Recorder
+from burdockrun_load.report import write_report
+from burdockrun_load.scenario import Scenario, load_scenario
+from burdockrun_load.sessions import SessionPool
+from burdockrun_load.streams import ProxyTarget, Target
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run one load and return the exit status."""
+    arguments = build_parser().parse_args(argv)
+    logging.set_verbosity(logging.INFO)
+    logging.get_absl_handler().setFormatter(standard_logging.Formatter("%(message)s"))
+    if not arguments.proxies and arguments.direct is None:
+        print("--proxies or --direct is missing", file=sys.stderr)
+        return EXIT_BAD_INPUT
+    scenario = load_scenario(arguments.scenario)
+    if isinstance(scenario, Err):
+        print(scenario.err_value, file=sys.stderr)
+        return EXIT_BAD_INPUT
+    events = EventLog(arguments.log_format)
+    try:
+        return asyncio.run(_async_run(arguments, scenario.ok_value, events))
+    except KeyboardInterrupt:
+        return EXIT_UNREACHABLE
+    except Exception as error:
+        events.write(EVENT_INTERNAL_FAULT, fault=type(error).__name__, reason=str(error))
+        return EXIT_UNREACHABLE
+
+
+async def _async_run(arguments: argparse.Namespace, scenario: Scenario, events: EventLog) -> int:
+    runs: dict[str, Recorder] = {}
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+        program = _LoadProgram(arguments, scenario, session, events)
+        for name, target in program.list_targets():
+            recorder = await program.async_drive(name, target)
+            if recorder is None:
+                return EXIT_UNREACHABLE
+            runs[name] = recorder
+    mode = f"closed {arguments.closed}" if arguments.closed else "open"
+    report = write_report(Path(arguments.report), scenario, mode, runs)
+    print(json.dumps(report))
+    return EXIT_VIOLATION if report["violations"] else EXIT_DONE
+
+
+class _LoadProgram:
+    """Runs the scenario against each target of the command line."""
+
+    def __init__(
+        self,
+        arguments: argparse.Namespace,
+        scenario: Scenario,
+        session: aiohttp.ClientSession,
+        events: EventLog,
+    ) -> None:
+        self._arguments = arguments
+        self._scenario = scenario
+        self._session = session
+        self._events = events
+
+    def list_targets(self) -> list[tuple[str, Target]]:
+        """Return the proxies and the member, as far as they are given."""
+        given = self._arguments
+        targets: list[tuple[str, Target]] = []
+        if given.proxies:
+            proxies = ProxyTarget(given.proxies, given.connections, self._session, self._events)
+            targets.append(("proxy", proxies))
+        if given.direct:
+            direct = DirectTarget(
+                given.direct,
+                connections=given.direct_connections,
+                term=given.direct_term,
+                session=self._session,
+                events=self._events,
+            )
+            targets.append(("direct", direct))
+        return targets
+
+    async def async_drive(self, name: str, target: Target) -> Recorder | None:
+        """Run the scenario against a target; return None when it cannot be reached."""
+        if not await target.async_open():
+            self._events.write(EVENT_TARGET_UNREACHABLE, target=name)
+            return None
+        # Keys and request ids of an earlier run against the same databases must not be met again.
+        run_id = f"{random.SystemRandom().getrandbits(48):012x}"
+        proxies = self._arguments.proxies if name == "proxy" else []
+        primaries = PrimaryWatch(proxies, self._session)
+        pool = SessionPool(self._scenario, max(1, len(proxies)), run_id)
+        driver = Driver(self._scenario, target, pool, primaries, self._events)
+        for address in proxies:
+            await primaries.async_poll(address)
+        watch = asyncio.create_task(primaries.async_run())
+        self._events.write(EVENT_LOAD_STARTED, target=name, run=run_id)
+        if self._arguments.closed:
+            await driver.async_run_closed(self._arguments.closed, self._scenario.duration_ms)
+        else:
+            await driver.async_run_open()
+        self._events.write(EVENT_LOAD_FINISHED, target=name, run=run_id)
+        watch.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await watch
+        await target.async_close()
+        return driver.recorder
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/libs/load/burdockrun_load/sessions.py
@@ -0,0 +1,154 @@
+"""Client sessions: what they send, where they roam to, and what their answers must keep."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from burdockrun_messages import Access, JsonValue, Outcome, StatementAnswer, StatementRequest
+
+from burdockrun_load.scenario import Scenario
+
+
+@dataclass(kw_only=True, slots=True)
+class Session:
+    """One caller with its token; `writes` holds the last acknowledged value per database.
+
+    The key of a database changes after a write of unknown outcome, which may still take effect.
+    """
+
+    number: int
+    proxy: int
+    token: str | None = None
+    sent: int = 0
+    writes: dict[str, int] = field(default_factory=dict)
+    adds: Counter[str] = field(default_factory=Counter)
+    key_numbers: Counter[str] = field(default_factory=Counter)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Call:
+    """Request of a session; `least_value` is what a current read must at least return."""
+
+    session: Session
+    request: StatementRequest
+    least_value: int | None = None
+
+
+class SessionPool:
+    """Sessions of a run. Each has at most one request in flight."""
+
+    def __init__(self, scenario: Scenario, proxies: int, run_id: str) -> None:
+        self._scenario = scenario
+        self._proxies = proxies
+        self._run_id = run_id
+        self._rng = random.Random(f"{scenario.seed}:sessions")
+        self._idle: list[Session] = []
+        self._created = 0
+        for _ in range(scenario.sessions):
+            self._idle.append(self._create())
+
+    def start_call(self, rank: str, session: Session | None = None) -> Call:
+        chosen = session or self._take_idle()
+        if self._proxies > 1 and self._rng.random() < self._scenario.roam_probability:
+            chosen.proxy = self._rng.randrange(self._proxies)
+        return self._build(chosen, rank)
+
+    def take_session(self) -> Session:
+        """Return a session for a caller that keeps it."""
+        return self._take_idle()
+
+    def finish_call(
+        self,
+        call: Call,
+        answer: StatementAnswer | None,
+        *,
+        keep: bool = False,
+        may_have_run: bool = True,
+    ) -> bool:
+        """Record an answer, None when there was none; return False for a broken promise.
+
+        The session is free for other callers unless `keep` is set.
+        """
+        session = call.session
+        if not keep:
+            self._idle.append(session)
+        if answer is None or answer.outcome is Outcome.UNKNOWN:
+            if may_have_run and call.request.access is Access.WRITE:
+                self._change_key(session, call.request.database)
+            return True
+        if answer.session is not None:
+            session.token = answer.session
+        if answer.outcome is not Outcome.DONE:
+            return True
+        return self._check(call, answer.result)
+
+    def move(self, session: Session) -> None:
+        """Send the next request of a session to the next proxy."""
+        session.proxy = (session.proxy + 1) % self._proxies
+
+    def _change_key(self, session: Session, database: str) -> None:
+        session.key_numbers[database] += 1
+        session.writes.pop(database, None)
+
+    def _check(self, call: Call, result: JsonValue) -> bool:
+        session, request = call.session, call.request
+        if request.access is Access.READ:
+            value = result if isinstance(result, int) else 0
+            return call.least_value is None or value >= call.least_value
+        if request.statement.startswith("ADD"):
+            return not isinstance(result, int) or result <= session.adds[request.database]
+        written = request.parameters[1]
+        if isinstance(written, int):
+            session.writes[request.database] = written
+        return True
+
+    def _create(self) -> Session:
+        self._created += 1
+        return Session(number=self._created, proxy=self._created % self._proxies)
+
+    def _take_idle(self) -> Session:
+        if not self._idle:
+            return self._create()
+        place = self._rng.randrange(len(self._idle))
+        self._idle[place], self._idle[-1] = self._idle[-1], self._idle[place]
+        return self._idle.pop()
+
+    def _build(self, session: Session, rank: str) -> Call:
+        profile = self._scenario.ranks[rank]
+        rng = self._rng
+        database = rng.choice(self._scenario.databases)
+        session.sent += 1
+        key = f"{self._run_id}/{session.number}/{session.key_numbers[database]}"
+        is_read = rng.random() < profile.read_share
+        accepts_age = is_read and rng.random() < profile.stale_share
+        adds = not is_read and rng.random() < profile.non_idempotent_share
+        statement, parameters = self._choose_statement(session, database, key, is_read, adds)
+        request = StatementRequest(
+            request_id=f"{self._run_id}-{session.number}-{session.sent}",
+            account=self._scenario.account,
+            database=database,
+            statement=statement,
+            access=Access.READ if is_read else Access.WRITE,
+            parameters=parameters,
+            rank=rank,
+            deadline_ms=profile.deadline_ms,
+            idempotent=not adds,
+            accepted_staleness_ms=profile.accepted_staleness_ms if accepts_age else None,
+            session=session.token,
+        )
+        current = is_read and request.accepted_staleness_ms is None
+        return Call(
+            session=session,
+            request=request,
+            least_value=session.writes.get(database) if current else None,
+        )
+
+    def _choose_statement(
+        self, session: Session, database: str, key: str, is_read: bool, adds: bool
+    ) -> tuple[str, tuple[JsonValue, ...]]:
+        if is_read:
+            return "GET ?", (key,)
+        if adds:
+            session.adds[database] += 1
+            return "ADD ? ?", (f"{self._run_id}/{session.number}/sum", 1)
+        return "PUT ? ?", (key, session.sent)
