--- a/libs/fleet/burdockrun_fleet/agent.py
+++ b/libs/fleet/burdockrun_fleet/agent.py
@@ -203,6 +203,10 @@
         """Return the standby of a member."""
         return self._roles.homes.find(member)[1]
 
+    def find_node(self, name: str) -> NodeInfo | None:
+        """Return a node by its name, also one that drains, or None."""
+        return self.node if name == self.node.node else self._membership.find(name)
+
     def is_home(self, member: Member) -> bool:
         """Return whether this node serves a member: as home, or as standby of a lost home."""
         role = self._roles.held_role(member)
--- a/libs/proxy/burdockrun_proxy/__init__.py
+++ b/libs/proxy/burdockrun_proxy/__init__.py
@@ -1,3 +1,15 @@
-"""Proxy library of burdockrun."""
+"""Proxy node, its naive version, and the program `burdockrun-proxy`."""
 
-__all__: list[str] = []
+from burdockrun_proxy.models import HomeReply, HomeRequest
+from burdockrun_proxy.node import DEFAULT_POLICIES, ProxyNode
+from burdockrun_proxy.policies import Policies, read_policies, scheduler_policies
+
+__all__ = [
+    "DEFAULT_POLICIES",
+    "HomeReply",
+    "HomeRequest",
+    "Policies",
+    "ProxyNode",
+    "read_policies",
+    "scheduler_policies",
+]
--- /dev/null
+++ b/libs/proxy/burdockrun_proxy/const.py
@@ -0,0 +1,44 @@
+"""Times, limits and log events of the proxy."""
+
+from typing import Final
+
+from burdockrun_base import Level, define_event
+
+VERSION: Final = "0.1.0"
+
+TICK_INTERVAL_MS: Final = 50
+PAUSE_THRESHOLD_MS: Final = 500
+CONTROL_TIMEOUT_MS: Final = 500
+SETTLE_TIMEOUT_MS: Final = 300
+RECONNECT_DELAY_MS: Final = 200
+TRANSACTION_SILENCE_MS: Final = 10_000
+REROUTE_DELAY_MS: Final = 20
+HELD_RECHECK_MS: Final = 100
+MAX_ACCOUNT_IN_FLIGHT: Final = 4_000
+MAX_ATTEMPTS: Final = 40
+DRAIN_TIMEOUT_MS: Final = 30_000
+MAX_REPLICA_WAIT_MS: Final = 10
+
+PROXY_STARTED = define_event(901, "proxy_started", Level.INFO, "The proxy accepts connections.")
+PROXY_DRAINING = define_event(
+    902, "proxy_draining", Level.INFO, "The proxy takes no new work and finishes what is in flight."
+)
+PROXY_STOPPED = define_event(903, "proxy_stopped", Level.INFO, "The proxy has stopped.")
+PROCESS_PAUSED = define_event(
+    904, "process_paused", Level.WARNING, "The process could not run for a while."
+)
+CONNECTION_FAILED = define_event(
+    905, "connection_failed", Level.WARNING, "A data connection to an endpoint was lost."
+)
+CONFIGURATION_IN_FORCE = define_event(
+    906, "configuration_in_force", Level.INFO, "A change ticket is in force at this proxy."
+)
+TERM_LEARNED = define_event(
+    907, "term_learned", Level.INFO, "The proxy learned a new term of a database group."
+)
+INVARIANT_VIOLATED = define_event(
+    908, "invariant_violated", Level.ERROR, "The program found one of its own rules broken."
+)
+TRANSACTION_EXPIRED = define_event(
+    909, "transaction_expired", Level.INFO, "A silent transaction was rolled back."
+)
--- /dev/null
+++ b/libs/proxy/burdockrun_proxy/entry.py
@@ -0,0 +1,451 @@
+"""Entry side of a proxy: checks requests, chooses a member, forwards, retries and answers."""
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from itertools import count
+from random import Random
+
+from burdockrun_admission import AccountLimiter
+from burdockrun_messages import (
+    Code,
+    Configuration,
+    Database,
+    Forward,
+    ForwardAnswer,
+    ForwardStatus,
+    GroupRecord,
+    LogPosition,
+    Member,
+    NodeInfo,
+    Outbox,
+    Outcome,
+    Rank,
+    SendAnswer,
+    Service,
+    StatementAnswer,
+    StatementRequest,
+    TransactionStep,
+)
+from burdockrun_routing import PositionTable, RetryBudget
+from burdockrun_sessions import SessionToken, TokenCodec
+from result import Err, Ok, Result
+
+from burdockrun_proxy.const import (
+    HELD_RECHECK_MS,
+    MAX_ATTEMPTS,
+    REROUTE_DELAY_MS,
+)
+from burdockrun_proxy.directory import EntryDirectory
+from burdockrun_proxy.models import (
+    HomeReply,
+    HomeRequest,
+    OnHomeReply,
+    Pending,
+    answer_unknown,
+    is_write,
+    needs_settlement,
+    refuse,
+)
+from burdockrun_proxy.policies import Policies, ReadSituation
+from burdockrun_proxy.transactions import parse_transaction_id
+
+AcceptHere = Callable[[str, HomeRequest, int], bool]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Checked:
+    """Request whose names and session token are valid."""
+
+    service: Service
+    database: Database
+    rank: str
+    rank_order: int
+    token: SessionToken
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Route:
+    """Member that shall run a request and the node that is asked to."""
+
+    member: Member
+    node: NodeInfo
+
+
+class EntryDesk:
+    """Takes requests of callers and answers each exactly once."""
+
+    def __init__(
+        self,
+        *,
+        node: NodeInfo,
+        codec: TokenCodec,
+        directory: EntryDirectory,
+        positions: PositionTable,
+        outbox: Outbox,
+        rng: Random,
+        ids: "count[int]",
+        policies: Policies,
+        limiter: AccountLimiter,
+        accept_here: AcceptHere,
+        learn_record: Callable[[GroupRecord, int], bool],
+    ) -> None:
+        self._node = node
+        self._codec = codec
+        self._directory = directory
+        self._positions = positions
+        self._outbox = outbox
+        self._rng = rng
+        self._ids = ids
+        self._policies = policies
+        self._limiter = limiter
+        self._accept_here = accept_here
+        self._learn_record = learn_record
+        self._retries = RetryBudget()
+        self._pending: dict[int, Pending] = {}
+        self._deadlines: list[tuple[int, int]] = []
+        self._reroutes: list[tuple[int, int]] = []
+        self.configuration = Configuration()
+        self.records: dict[str, GroupRecord] = {}
+        self.draining = False
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many callers wait for an answer."""
+        return len(self._pending)
+
+    def receive(self, caller_id: int, request: StatementRequest, now_ms: int) -> None:
+        """Take one request of a caller."""
+        self._outbox.count("requests")
+        checked = self._check(request)
+        if isinstance(checked, Err):
+            self._outbox.add(SendAnswer(caller_id=caller_id, answer=checked.err_value))
+            return
+        if not self._limiter.try_enter(request.account):
+            answer = refuse(request, Code.OVERLOADED, "client account has too much in flight")
+            self._outbox.add(SendAnswer(caller_id=caller_id, answer=answer))
+            return
+        pending = self._build_pending(caller_id, request, checked.ok_value, now_ms)
+        self._pending[pending.pending_id] = pending
+        heapq.heappush(self._deadlines, (pending.deadline_ms, pending.pending_id))
+        self._retries.note_request()
+        self._route(pending, now_ms)
+
+    def receive_forward_answer(self, answer: ForwardAnswer, now_ms: int) -> None:
+        """Take the answer of a home; late answers of earlier attempts are ignored."""
+        if answer.record is not None:
+            self._learn_record(answer.record, now_ms)
+        pending_id, attempt = divmod(answer.forward_id, MAX_ATTEMPTS + 1)
+        pending = self._pending.get(pending_id)
+        if pending is None or pending.attempt != attempt:
+            return
+        reply = HomeReply(
+            status=answer.status,
+            answer=answer.answer,
+            position=answer.position,
+            lag_ms=answer.lag_ms,
+        )
+        self._take_reply(pending, attempt, reply, now_ms)
+
+    def peer_lost(self, node: str, now_ms: int) -> None:
+        """Route requests again that wait for a node that was lost."""
+        for pending in tuple(self._pending.values()):
+            if pending.node != node:
+                continue
+            pending.maybe_ran = pending.maybe_ran or needs_settlement(pending.request)
+            pending.avoid.add(node)
+            if pending.request.transaction is not None:
+                self._finish_lost(pending, now_ms)
+                continue
+            self._retry(pending, now_ms)
+
+    def record_changed(self, database: str, now_ms: int) -> None:
+        """Route held requests of a database, urgent ones first."""
+        held = [
+            pending
+            for pending in self._pending.values()
+            if pending.held and pending.request.database == database
+        ]
+        for pending in sorted(held, key=lambda item: (item.rank_order, item.arrived_ms)):
+            self._route(pending, now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Answer requests whose deadline has passed and route those that wait to be retried."""
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            pending = self._pending.get(heapq.heappop(self._deadlines)[1])
+            if pending is not None:
+                self._expire(pending, now_ms)
+        while self._reroutes and self._reroutes[0][0] <= now_ms:
+            pending = self._pending.get(heapq.heappop(self._reroutes)[1])
+            if pending is not None and pending.held:
+                self._route(pending, now_ms)
+
+    def _check(self, request: StatementRequest) -> Result[Checked, StatementAnswer]:
+        if self.draining and request.transaction is None:
+            return Err(self._refuse_draining(request))
+        if self.configuration.number == 0:
+            return Err(refuse(request, Code.NO_CONFIGURATION, "no change ticket is in force here"))
+        found = self.configuration.find_database(request.database)
+        if found is None:
+            return Err(refuse(request, Code.UNKNOWN_DATABASE, f"no database {request.database!r}"))
+        service, database = found
+        if service.account != request.account:
+            return Err(
+                refuse(
+                    request,
+                    Code.UNKNOWN_ACCOUNT,
+                    f"database {request.database!r} does not belong to {request.account!r}",
+                )
+            )
+        rank = find_rank(service, request.rank)
+        if rank is None:
+            return Err(refuse(request, Code.UNKNOWN_RANK, f"no work rank {request.rank!r}"))
+        step_fault = check_step(request)
+        if step_fault is not None:
+            return Err(refuse(request, Code.BAD_REQUEST, step_fault))
+        token = self._decode_token(request)
+        if isinstance(token, Err):
+            return token
+        return Ok(
+            Checked(
+                service=service,
+                database=database,
+                rank=rank.name,
+                rank_order=rank.order,
+                token=token.ok_value,
+            )
+        )
+
+    def _decode_token(self, request: StatementRequest) -> Result[SessionToken, StatementAnswer]:
+        if request.session is None:
+            return Ok(SessionToken())
+        decoded = self._codec.decode(request.session, request.account)
+        if isinstance(decoded, Ok):
+            return Ok(decoded.ok_value)
+        answer = refuse(request, Code.BAD_SESSION, str(decoded.err_value))
+        return Err(replace(answer, session=None))
+
+    def _refuse_draining(self, request: StatementRequest) -> StatementAnswer:
+        others = tuple(
+            f"{node.host}:{node.port}"
+            for node in self._directory.list_nodes()
+            if node.node != self._node.node
+        )
+        return replace(refuse(request, Code.DRAINING, "proxy is draining"), alternatives=others[:5])
+
+    def _build_pending(
+        self, caller_id: int, request: StatementRequest, checked: Checked, now_ms: int
+    ) -> Pending:
+        required = checked.token.find(request.database)
+        max_lag_ms = None
+        allowed_ms = checked.service.stale_reads_ms.get(checked.rank)
+        if request.accepted_staleness_ms is not None and allowed_ms is not None:
+            max_lag_ms = min(request.accepted_staleness_ms, allowed_ms)
+        return Pending(
+            pending_id=next(self._ids),
+            caller_id=caller_id,
+            request=request,
+            rank=checked.rank,
+            rank_order=checked.rank_order,
+            token=checked.token,
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + request.deadline_ms,
+            required=required,
+            max_lag_ms=max_lag_ms,
+        )
+
+    def _route(self, pending: Pending, now_ms: int) -> None:
+        pending.held = False
+        if pending.attempt >= MAX_ATTEMPTS:
+            self._finish_refused(pending, Code.RETRY_BUDGET, "too many attempts", now_ms)
+            return
+        if pending.request.transaction is not None:
+            self._route_in_transaction(pending, now_ms)
+            return
+        found = self.configuration.find_database(pending.request.database)
+        if found is None:
+            self._finish_refused(pending, Code.UNKNOWN_DATABASE, "database was removed", now_ms)
+            return
+        member = self._choose_member(pending, found[1], now_ms)
+        if member is None:
+            self._hold(pending, HELD_RECHECK_MS, now_ms)
+            return
+        node = self._choose_node(pending, member)
+        if node is None:
+            pending.avoid.clear()
+            self._hold(pending, HELD_RECHECK_MS, now_ms)
+            return
+        self._forward(pending, Route(member=member, node=node), now_ms)
+
+    def _choose_member(self, pending: Pending, database: Database, now_ms: int) -> Member | None:
+        record = self.records.get(database.name)
+        primary = record.active.primary if record is not None and record.active else None
+        if is_write(pending.request):
+            return database.find_member(primary) if primary is not None else None
+        situation = ReadSituation(
+            pending=pending,
+            database=database,
+            primary=primary,
+            positions=self._positions,
+            domain=self._node.domain,
+        )
+        return self._policies.read(situation, now_ms, self._rng)
+
+    def _choose_node(self, pending: Pending, member: Member) -> NodeInfo | None:
+        for node in (self._directory.find_home(member), self._directory.find_standby(member)):
+            if node is not None and node.node not in pending.avoid:
+                return node
+        return None
+
+    def _route_in_transaction(self, pending: Pending, now_ms: int) -> None:
+        parsed = parse_transaction_id(pending.request.transaction or "")
+        found = self.configuration.find_database(pending.request.database)
+        node = self._directory.find_node(parsed[0]) if parsed is not None else None
+        member = found[1].find_member(parsed[1]) if found is not None and parsed else None
+        if node is None or member is None or pending.attempt > 0:
+            self._finish_refused(pending, Code.UNKNOWN_TRANSACTION, "no such transaction", now_ms)
+            return
+        self._forward(pending, Route(member=member, node=node), now_ms)
+
+    def _forward(self, pending: Pending, route: Route, now_ms: int) -> None:
+        pending.attempt += 1
+        pending.member = route.member.name
+        pending.node = route.node.node
+        if route.node.node == self._node.node:
+            self._forward_here(pending, route, now_ms)
+            return
+        self._outbox.send_peer(
+            route.node,
+            Forward(
+                forward_id=pending.pending_id * (MAX_ATTEMPTS + 1) + pending.attempt,
+                member=route.member.name,
+                request=replace(pending.request, rank=pending.rank, session=None),
+                deadline_ms=pending.deadline_ms - now_ms,
+                sender=self._node,
+                required=pending.required,
+                max_lag_ms=pending.max_lag_ms,
+            ),
+        )
+
+    def _forward_here(self, pending: Pending, route: Route, now_ms: int) -> None:
+        attempt = pending.attempt
+        request = HomeRequest(
+            request=pending.request,
+            rank=pending.rank,
+            deadline_ms=pending.deadline_ms,
+            required=pending.required,
+            max_lag_ms=pending.max_lag_ms,
+            on_reply=self._build_on_reply(pending, attempt),
+        )
+        if not self._accept_here(route.member.name, request, now_ms):
+            self._take_reply(pending, attempt, HomeReply(status=ForwardStatus.NOT_HOME), now_ms)
+
+    def _build_on_reply(self, pending: Pending, attempt: int) -> OnHomeReply:
+        def on_reply(reply: HomeReply, now_ms: int) -> None:
+            if reply.record is not None:
+                self._learn_record(reply.record, now_ms)
+            current = self._pending.get(pending.pending_id)
+            if current is pending and pending.attempt == attempt:
+                self._take_reply(pending, attempt, reply, now_ms)
+
+        return on_reply
+
+    def _take_reply(self, pending: Pending, attempt: int, reply: HomeReply, now_ms: int) -> None:
+        member, pending.node = pending.member or "", None
+        if reply.position is not None:
+            self._positions.observe(
+                pending.request.database, member, reply.position, reply.lag_ms, now_ms
+            )
+        if reply.status is ForwardStatus.ANSWERED and reply.answer is not None:
+            self._finish(pending, reply.answer, now_ms)
+            return
+        if reply.status is ForwardStatus.BEHIND:
+            pending.avoid.add(member)
+            self._route(pending, now_ms)
+            return
+        delay_ms = REROUTE_DELAY_MS if attempt < 5 else HELD_RECHECK_MS
+        self._hold(pending, delay_ms, now_ms)
+
+    def _retry(self, pending: Pending, now_ms: int) -> None:
+        pending.node = None
+        if not self._retries.try_spend():
+            self._finish_refused(pending, Code.RETRY_BUDGET, "retry budget is used up", now_ms)
+            return
+        self._outbox.count("retries")
+        self._route(pending, now_ms)
+
+    def _hold(self, pending: Pending, delay_ms: int, now_ms: int) -> None:
+        pending.held = True
+        pending.node = None
+        heapq.heappush(self._reroutes, (now_ms + delay_ms, pending.pending_id))
+        self._outbox.wake_at(now_ms + delay_ms)
+
+    def _expire(self, pending: Pending, now_ms: int) -> None:
+        if pending.node is not None and needs_settlement(pending.request):
+            answer = answer_unknown(pending.request, "no answer before the deadline")
+            self._finish(pending, answer, now_ms)
+            return
+        if pending.node is not None and pending.request.step is None:
+            answer = answer_unknown(pending.request, "no answer before the deadline")
+            self._finish(pending, answer, now_ms)
+            return
+        code = self._name_expiry(pending)
+        self._finish_refused(pending, code, "deadline passed before the request ran", now_ms)
+
+    def _name_expiry(self, pending: Pending) -> Code:
+        record = self.records.get(pending.request.database)
+        if is_write(pending.request) and (record is None or record.active is None):
+            return Code.NO_PRIMARY
+        if pending.required is not None and not is_write(pending.request):
+            return Code.NO_MEMBER_CURRENT
+        return Code.DEADLINE
+
+    def _finish_lost(self, pending: Pending, now_ms: int) -> None:
+        if needs_settlement(pending.request):
+            self._finish(pending, answer_unknown(pending.request, "proxy node lost"), now_ms)
+            return
+        self._finish_refused(pending, Code.TRANSACTION_ENDED, "proxy node lost", now_ms)
+
+    def _finish_refused(self, pending: Pending, code: Code, message: str, now_ms: int) -> None:
+        self._finish(pending, refuse(pending.request, code, message), now_ms)
+
+    def _finish(self, pending: Pending, answer: StatementAnswer, now_ms: int) -> None:
+        del self._pending[pending.pending_id]
+        self._limiter.leave(pending.request.account)
+        if answer.outcome is Outcome.NOT_RUN and pending.maybe_ran:
+            answer = self._doubt(pending, answer)
+        answer = replace(answer, session=self._build_session(pending, answer))
+        self._outbox.count(f"outcome.{answer.outcome}")
+        self._outbox.time(f"latency.{pending.rank}", now_ms - pending.arrived_ms)
+        self._outbox.add(SendAnswer(caller_id=pending.caller_id, answer=answer))
+
+    def _doubt(self, pending: Pending, answer: StatementAnswer) -> StatementAnswer:
+        """Return `unknown` for a refusal after an attempt whose effect was never settled."""
+        if answer.code is Code.ANSWER_LOST:
+            return answer
+        return answer_unknown(pending.request, "an earlier attempt may have run")
+
+    def _build_session(self, pending: Pending, answer: StatementAnswer) -> str:
+        token = pending.token
+        if answer.outcome is Outcome.DONE and answer.term is not None and answer.index is not None:
+            position = LogPosition(term=answer.term, index=answer.index)
+            token = token.advance(pending.request.database, position)
+        return self._codec.encode(token, pending.request.account)
+
+
+def find_rank(service: Service, name: str | None) -> Rank | None:
+    """Return the rank called `name`, or the least urgent one for None."""
+    if name is None:
+        return max(service.ranks, key=lambda rank: rank.order)
+    return next((rank for rank in service.ranks if rank.name == name), None)
+
+
+def check_step(request: StatementRequest) -> str | None:
+    """Return what is wrong with the transaction fields of a request, or None."""
+    if request.step is TransactionStep.BEGIN and request.transaction is not None:
+        return "begin takes no transaction id"
+    if request.step not in (None, TransactionStep.BEGIN) and request.transaction is None:
+        return f"step {request.step} needs a transaction id"
+    if request.step is None and request.transaction is not None:
+        return "a transaction id needs a step"
+    return None
--- /dev/null
+++ b/libs/proxy/burdockrun_proxy/home.py
@@ -0,0 +1,488 @@
+"""Home of one database member: its queue, connections and the execution of statements."""
+
+from collections.abc import Callable
+from itertools import count
+
+from burdockrun_admission import RankScheduler, Refusal, Work
+from burdockrun_failover import Acknowledger
+from burdockrun_messages import (
+    Access,
+    Code,
+    Database,
+    Execute,
+    ExecuteAnswer,
+    ExecuteStatus,
+    ForwardStatus,
+    GroupRecord,
+    GroupState,
+    LogPosition,
+    Member,
+    Outbox,
+    Outcome,
+    SendExecute,
+    Service,
+    StatementAnswer,
+    StatementRequest,
+    TransactionStep,
+)
+from burdockrun_routing import PositionTable, estimate_catch_up_ms
+from result import Err
+
+from burdockrun_proxy.const import CONNECTION_FAILED
+from burdockrun_proxy.models import (
+    Connection,
+    Execution,
+    HomeReply,
+    HomeRequest,
+    answer_unknown,
+    is_write,
+    needs_settlement,
+    refuse,
+    scope_request_id,
+)
+from burdockrun_proxy.pool import ConnectionPool
+from burdockrun_proxy.settlement import OpenQuestion, Settlement
+from burdockrun_proxy.transactions import TransactionTable
+
+OnLife = Callable[[str, int], None]
+
+
+class MemberHome:
+    """Schedules and executes the statements of one member.
+
+    Every accepted `HomeRequest` gets exactly one reply.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: Service,
+        database: Database,
+        member: Member,
+        node: str,
+        outbox: Outbox,
+        ids: "count[int]",
+        positions: PositionTable,
+        acknowledger: Acknowledger,
+        settlement: Settlement,
+        scheduler: RankScheduler,
+        on_life: OnLife,
+    ) -> None:
+        self.database = database
+        self.member = member
+        self.record: GroupRecord | None = None
+        self._service = service
+        self._outbox = outbox
+        self._ids = ids
+        self._positions = positions
+        self._acknowledger = acknowledger
+        self._settlement = settlement
+        self._scheduler = scheduler
+        self._on_life = on_life
+        self._budget = 0
+        self._waiting: dict[int, HomeRequest] = {}
+        self._parked: list[tuple[int, HomeRequest]] = []
+        self.pool = ConnectionPool(member, outbox, ids)
+        self.transactions = TransactionTable(node, member.name, self.pool, outbox, ids)
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests wait, run or are parked here."""
+        running = sum(1 for connection in self.pool if connection.execution is not None)
+        return len(self._waiting) + len(self._parked) + running + len(self.transactions)
+
+    @property
+    def has_budget(self) -> bool:
+        """Return whether this node may have connections open to the member."""
+        return self._budget > 0
+
+    @property
+    def unused(self) -> bool:
+        """Return whether nothing is open or in flight."""
+        return self.in_flight == 0 and len(self.pool) == 0
+
+    def set_budget(self, budget: int, now_ms: int) -> None:
+        """Set how many connections this node may have open to the member."""
+        self._budget = budget
+        self.pool.resize(budget, now_ms)
+
+    def accept(self, request: HomeRequest, now_ms: int) -> None:
+        """Queue a request or reply at once why it cannot run here."""
+        if self._budget <= 0:
+            self._reply(request, HomeReply(status=ForwardStatus.NOT_HOME), now_ms)
+            return
+        if is_write(request.request) and not self._serves_writes():
+            self._reply_not_primary(request, now_ms)
+            return
+        if request.request.transaction is not None:
+            self._accept_in_transaction(request, now_ms)
+            return
+        if request.max_lag_ms is None and self._wait_for_position(request, now_ms):
+            return
+        self._enqueue(request, now_ms)
+        self.pump(now_ms)
+
+    def learn_record(self, record: GroupRecord, now_ms: int) -> None:
+        """Take over a newer record; requests for an ended term go back to their senders."""
+        old, self.record = self.record, record
+        if old is not None and old.term == record.term and old.state == record.state:
+            return
+        if self._serves_writes():
+            self.pump(now_ms)
+            return
+        if record.state is GroupState.FENCING:
+            return
+        self._return_writes(now_ms)
+
+    def connection_opened(self, connection_id: int, now_ms: int) -> None:
+        """Use a newly opened connection."""
+        self.pool.mark_open(connection_id)
+        self.pump(now_ms)
+
+    def connection_closed(self, connection_id: int, reason: str, now_ms: int) -> None:
+        """Settle what was in flight on a lost connection."""
+        connection = self.pool.forget(connection_id)
+        if connection is None:
+            return
+        self._outbox.log(CONNECTION_FAILED, member=self.member.name, reason=reason)
+        self.pool.delay_opening(now_ms)
+        self.transactions.connection_lost(connection)
+        if connection.execution is not None:
+            self._execution_lost(connection.execution, now_ms)
+        self.pump(now_ms)
+
+    def execute_answered(self, connection_id: int, answer: ExecuteAnswer, now_ms: int) -> None:
+        """Match an answer to the statement in flight on its connection."""
+        connection = self.pool.find(connection_id)
+        if connection is None:
+            return
+        execution = connection.execution
+        if execution is None or execution.message.execution_id != answer.execution_id:
+            self._close_mismatched(connection, now_ms)
+            return
+        self._on_life(self.member.name, now_ms)
+        self._positions.observe(
+            self.database.name, self.member.name, answer.position, answer.lag_ms, now_ms
+        )
+        connection.execution = None
+        self._complete(execution, now_ms)
+        self.transactions.statement_answered(connection, execution, answer, now_ms)
+        if connection.transaction is None and self.pool.find(connection_id) is not None:
+            self.pool.give_back(connection)
+        self._handle_answer(execution, answer, now_ms)
+        self.pump(now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Do what is due: resize the pool, drop expired work, end silent transactions."""
+        self.pool.resize(self._budget, now_ms)
+        self.transactions.expire(now_ms)
+        self._resume_parked(now_ms)
+        self._drop_expired_in_flight(now_ms)
+        self.pump(now_ms)
+
+    def pump(self, now_ms: int) -> None:
+        """Send waiting statements while slots and connections are free."""
+        while self.pool.has_idle():
+            taken = self._scheduler.take(now_ms)
+            for work in taken.expired:
+                self._expire(work, now_ms)
+            if taken.work is None:
+                return
+            self._start(taken.work, now_ms)
+
+    def stop_roles(self, now_ms: int) -> None:
+        """Send queued requests back because another node takes over."""
+        for work_id in tuple(self._waiting):
+            request = self._waiting.pop(work_id)
+            self._scheduler.cancel(work_id)
+            self._reply(request, HomeReply(status=ForwardStatus.NOT_HOME), now_ms)
+
+    def _serves_writes(self) -> bool:
+        record = self.record
+        if record is None or record.active is None:
+            return False
+        return record.active.primary == self.member.name
+
+    def _enqueue(self, request: HomeRequest, now_ms: int) -> None:
+        work = Work(
+            work_id=next(self._ids),
+            rank=request.rank,
+            account=request.request.account,
+            arrived_ms=now_ms,
+            deadline_ms=request.deadline_ms,
+        )
+        offered = self._scheduler.offer(work, now_ms)
+        if isinstance(offered, Err):
+            self._reply_refused(request, offered.err_value, now_ms)
+            return
+        self._waiting[work.work_id] = request
+
+    def _wait_for_position(self, request: HomeRequest, now_ms: int) -> bool:
+        view = self._positions.view(self.database.name, self.member.name)
+        if request.required is None or view is None or is_write(request.request):
+            return False
+        if view.position.has_reached(request.required):
+            return False
+        wait_ms = estimate_catch_up_ms(view, request.required, now_ms)
+        if wait_ms is None or request.attempts > 0 or now_ms + wait_ms >= request.deadline_ms:
+            return False
+        request.attempts += 1
+        self._parked.append((now_ms + max(wait_ms, 1), request))
+        self._outbox.wake_at(now_ms + max(wait_ms, 1))
+        return True
+
+    def _resume_parked(self, now_ms: int) -> None:
+        due = [request for at_ms, request in self._parked if at_ms <= now_ms]
+        if not due:
+            return
+        self._parked = [(at_ms, request) for at_ms, request in self._parked if at_ms > now_ms]
+        for request in due:
+            self._enqueue(request, now_ms)
+
+    def _accept_in_transaction(self, request: HomeRequest, now_ms: int) -> None:
+        transaction_id = request.request.transaction or ""
+        connection = self.transactions.find_connection(transaction_id, request.request.account)
+        if connection is None:
+            answer = refuse(request.request, Code.TRANSACTION_ENDED, "transaction is not open")
+            self._reply_answer(request, answer, now_ms)
+            return
+        if connection.execution is not None:
+            answer = refuse(request.request, Code.BAD_REQUEST, "a statement is in flight")
+            self._reply_answer(request, answer, now_ms)
+            return
+        self._send(connection, request, next(self._ids), now_ms, in_scheduler=False)
+
+    def _start(self, work: Work, now_ms: int) -> None:
+        request = self._waiting.pop(work.work_id)
+        if request.request.step is TransactionStep.BEGIN and not self.transactions.has_room(
+            self._budget
+        ):
+            self._scheduler.complete(work.work_id, now_ms)
+            answer = refuse(request.request, Code.OVERLOADED, "too many open transactions")
+            self._reply_answer(request, answer, now_ms)
+            return
+        connection = self.pool.take_idle()
+        assert connection is not None
+        self._send(connection, request, work.work_id, now_ms, in_scheduler=True)
+
+    def _send(
+        self,
+        connection: Connection,
+        request: HomeRequest,
+        work_id: int,
+        now_ms: int,
+        *,
+        in_scheduler: bool,
+    ) -> None:
+        assert connection.execution is None, "a connection with an answer outstanding was reused"
+        message = self._build_execute(request.request, request.required)
+        connection.execution = Execution(
+            work_id=work_id,
+            home_request=request,
+            message=message,
+            sent_ms=now_ms,
+            in_scheduler=in_scheduler,
+        )
+        self._outbox.add(SendExecute(connection_id=connection.connection_id, message=message))
+
+    def _build_execute(self, request: StatementRequest, required: LogPosition | None) -> Execute:
+        record = self.record
+        return Execute(
+            execution_id=next(self._ids),
+            statement=request.statement,
+            access=request.access,
+            parameters=request.parameters,
+            request_id=scope_request_id(request) if needs_settlement(request) else None,
+            term=record.active.term if record is not None and record.active is not None else 0,
+            required=None if request.access is Access.WRITE else required,
+            step=request.step,
+        )
+
+    def _complete(self, execution: Execution, now_ms: int) -> None:
+        if execution.in_scheduler:
+            self._scheduler.complete(execution.work_id, now_ms)
+
+    def _handle_answer(self, execution: Execution, answer: ExecuteAnswer, now_ms: int) -> None:
+        request = execution.home_request
+        if request.answered:
+            return
+        if answer.status is ExecuteStatus.OK:
+            self._handle_done(execution, answer, now_ms)
+            return
+        if answer.status is ExecuteStatus.BEHIND:
+            self._reply(
+                request,
+                HomeReply(
+                    status=ForwardStatus.BEHIND, position=answer.position, lag_ms=answer.lag_ms
+                ),
+                now_ms,
+            )
+            return
+        if answer.status in (ExecuteStatus.WRONG_TERM, ExecuteStatus.NOT_PRIMARY):
+            self._reply_not_primary(request, now_ms)
+            return
+        code = (
+            Code.STATEMENT_ERROR
+            if answer.status is ExecuteStatus.ERROR
+            else Code.DUPLICATE_CONFLICT
+        )
+        self._reply_answer(request, refuse(request.request, code, answer.message), now_ms)
+
+    def _handle_done(self, execution: Execution, answer: ExecuteAnswer, now_ms: int) -> None:
+        request = execution.home_request
+        if request.max_lag_ms is not None and not self._is_fresh(answer, request.max_lag_ms):
+            self._reply(
+                request,
+                HomeReply(
+                    status=ForwardStatus.BEHIND, position=answer.position, lag_ms=answer.lag_ms
+                ),
+                now_ms,
+            )
+            return
+        if not needs_settlement(request.request):
+            self._reply_done(execution, answer, now_ms)
+            return
+
+        def confirmed(held: bool, at_ms: int) -> None:
+            if held:
+                self._reply_done(execution, answer, at_ms)
+                return
+            self._settle(request, at_ms)
+
+        self._acknowledger.wait(
+            self.member,
+            execution.message.term,
+            answer.position.index,
+            request.deadline_ms,
+            confirmed,
+        )
+
+    def _is_fresh(self, answer: ExecuteAnswer, max_lag_ms: int) -> bool:
+        return self._serves_writes() or (answer.lag_ms is not None and answer.lag_ms <= max_lag_ms)
+
+    def _reply_done(self, execution: Execution, answer: ExecuteAnswer, now_ms: int) -> None:
+        request = execution.home_request
+        wrote = needs_settlement(request.request)
+        index = answer.position.index
+        if not wrote:
+            index = min(index, answer.confirmed_index)
+        self._reply_answer(
+            request,
+            StatementAnswer(
+                request_id=request.request.request_id,
+                outcome=Outcome.DONE,
+                result=answer.result,
+                member=self.member.name,
+                term=answer.position.term,
+                index=index,
+                transaction=self.transactions.name_of(execution, request.request),
+            ),
+            now_ms,
+            position=answer.position,
+            lag_ms=answer.lag_ms,
+        )
+
+    def _execution_lost(self, execution: Execution, now_ms: int) -> None:
+        self._complete(execution, now_ms)
+        request = execution.home_request
+        if request.answered:
+            return
+        if request.request.step not in (None, TransactionStep.COMMIT):
+            answer = refuse(request.request, Code.TRANSACTION_ENDED, "connection lost, rolled back")
+            self._reply_answer(request, answer, now_ms)
+            return
+        if needs_settlement(request.request):
+            self._settle(request, now_ms)
+            return
+        self._reply(request, HomeReply(status=ForwardStatus.NOT_HOME), now_ms)
+
+    def _settle(self, request: HomeRequest, now_ms: int) -> None:
+        def settled(answer: StatementAnswer, at_ms: int) -> None:
+            self._reply_answer(request, answer, at_ms)
+
+        self._settlement.start(
+            OpenQuestion(
+                database=self.database.name,
+                request=request.request,
+                deadline_ms=request.deadline_ms,
+                on_settled=settled,
+            ),
+            now_ms,
+        )
+
+    def _drop_expired_in_flight(self, now_ms: int) -> None:
+        """Answer callers whose time is up; the connection stays busy until its answer comes."""
+        for connection in self.pool:
+            execution = connection.execution
+            if execution is None or execution.home_request.deadline_ms > now_ms:
+                continue
+            request = execution.home_request
+            if request.answered:
+                self._close_overdue(connection, execution, now_ms)
+                continue
+            self._reply_answer(
+                request, answer_unknown(request.request, "no answer in time"), now_ms
+            )
+
+    def _close_overdue(self, connection: Connection, execution: Execution, now_ms: int) -> None:
+        """Close a connection whose answer is outstanding for longer than twice its deadline."""
+        allowed_ms = 2 * (execution.home_request.deadline_ms - execution.sent_ms) + 1_000
+        if now_ms - execution.sent_ms < allowed_ms:
+            return
+        self.pool.close(connection.connection_id)
+        self.transactions.connection_lost(connection)
+        self._complete(execution, now_ms)
+
+    def _close_mismatched(self, connection: Connection, now_ms: int) -> None:
+        self.pool.close(connection.connection_id)
+        self.transactions.connection_lost(connection)
+        if connection.execution is not None:
+            self._execution_lost(connection.execution, now_ms)
+
+    def _return_writes(self, now_ms: int) -> None:
+        self.transactions.end_all()
+        for work_id, request in tuple(self._waiting.items()):
+            if is_write(request.request):
+                del self._waiting[work_id]
+                self._scheduler.cancel(work_id)
+                self._reply_not_primary(request, now_ms)
+
+    def _expire(self, work: Work, now_ms: int) -> None:
+        request = self._waiting.pop(work.work_id, None)
+        if request is not None:
+            answer = refuse(request.request, Code.DEADLINE, "deadline passed while waiting")
+            self._reply_answer(request, answer, now_ms)
+
+    def _reply_refused(self, request: HomeRequest, refusal: Refusal, now_ms: int) -> None:
+        answer = refuse(
+            request.request,
+            refusal.code,
+            "expected wait exceeds the target or the deadline",
+            retry_after_ms=refusal.retry_after_ms,
+        )
+        self._reply_answer(request, answer, now_ms)
+
+    def _reply_not_primary(self, request: HomeRequest, now_ms: int) -> None:
+        self._reply(
+            request, HomeReply(status=ForwardStatus.NOT_PRIMARY, record=self.record), now_ms
+        )
+
+    def _reply_answer(
+        self,
+        request: HomeRequest,
+        answer: StatementAnswer,
+        now_ms: int,
+        *,
+        position: LogPosition | None = None,
+        lag_ms: int | None = None,
+    ) -> None:
+        reply = HomeReply(
+            status=ForwardStatus.ANSWERED, answer=answer, position=position, lag_ms=lag_ms
+        )
+        self._reply(request, reply, now_ms)
+
+    def _reply(self, request: HomeRequest, reply: HomeReply, now_ms: int) -> None:
+        if request.answered:
+            return
+        request.answered = True
+        request.on_reply(reply, now_ms)
--- /dev/null
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -0,0 +1,439 @@
+"""Proxy node: composes the decisions and passes each event to the one it concerns."""
+
+from collections.abc import Callable, Sequence
+from functools import partial
+from itertools import count
+from random import Random
+from typing import Any, Final
+
+from burdockrun_admission import AccountLimiter
+from burdockrun_base import Registry
+from burdockrun_failover import Acknowledger, GroupSupervisor, ProbeBudget
+from burdockrun_fleet import FleetAgent, TicketFormat
+from burdockrun_messages import (
+    Action,
+    CallerGone,
+    Configuration,
+    ConnectionClosed,
+    ConnectionOpened,
+    ControlAnswered,
+    Database,
+    DrainFinished,
+    DrainRequested,
+    Event,
+    ExecuteAnswered,
+    Forward,
+    ForwardAnswer,
+    ForwardStatus,
+    GroupRecord,
+    Member,
+    MemberStatus,
+    NodeInfo,
+    Outbox,
+    PeerLost,
+    PeerReceived,
+    PlatformAnswered,
+    ProcessPaused,
+    RequestReceived,
+    Service,
+    Started,
+    TimerFired,
+    Verdict,
+)
+from burdockrun_routing import PositionTable
+from burdockrun_sessions import TokenCodec
+
+from burdockrun_proxy.const import (
+    CONFIGURATION_IN_FORCE,
+    MAX_ACCOUNT_IN_FLIGHT,
+    PROCESS_PAUSED,
+    PROXY_DRAINING,
+    TERM_LEARNED,
+)
+from burdockrun_proxy.entry import EntryDesk
+from burdockrun_proxy.home import MemberHome
+from burdockrun_proxy.models import HomeReply, HomeRequest
+from burdockrun_proxy.policies import (
+    Policies,
+    build_rank_scheduler,
+    choose_replica_first,
+)
+from burdockrun_proxy.settlement import Settlement
+from burdockrun_proxy.status import NodeStatus, build_status
+
+ID_BITS: Final = 40
+
+DEFAULT_POLICIES = Policies(read=choose_replica_first, scheduler=build_rank_scheduler)
+
+Handler = Callable[["ProxyNode", Any, int], None]
+_handlers: Registry[Handler] = Registry("event handler")
+
+
+class ProxyNode:
+    """All decisions of one proxy process, without any I/O.
+
+    `handle` takes an event with the time in ms and returns the actions to carry out. All
+    randomness comes from `rng`.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: NodeInfo,
+        seeds: Sequence[NodeInfo],
+        session_keys: Sequence[str],
+        ticket_format: TicketFormat,
+        rng: Random,
+        account_limit: int = MAX_ACCOUNT_IN_FLIGHT,
+        policies: Policies = DEFAULT_POLICIES,
+    ) -> None:
+        self.info = node
+        self._rng = rng
+        self._policies = policies
+        self._outbox = Outbox()
+        # A random start keeps ids of an earlier process with the same name from matching.
+        self._ids = count(rng.getrandbits(ID_BITS))
+        self._positions = PositionTable()
+        self._probe_budget = ProbeBudget()
+        self._records: dict[str, GroupRecord] = {}
+        self._homes: dict[str, MemberHome] = {}
+        self._supervisors: dict[str, GroupSupervisor] = {}
+        self._forwarded = 0
+        self._draining = False
+        self._drain_reported = False
+        self._configuration = Configuration()
+        self._members: dict[str, tuple[Service, Database, Member]] = {}
+        self.fleet = FleetAgent(node, seeds, self._outbox, rng, ticket_format)
+        self.fleet.on_configuration = self._apply_configuration
+        self.fleet.on_records = self._learn_records
+        self._acknowledger = Acknowledger(self._outbox)
+        self._settlement = Settlement(self._outbox, self._acknowledger, self._find_primary)
+        self._entry = EntryDesk(
+            node=node,
+            codec=TokenCodec(session_keys),
+            directory=self.fleet,
+            positions=self._positions,
+            outbox=self._outbox,
+            rng=rng,
+            ids=self._ids,
+            policies=policies,
+            limiter=AccountLimiter(account_limit),
+            accept_here=self._accept,
+            learn_record=self._learn_record,
+        )
+
+    @property
+    def draining(self) -> bool:
+        """Return whether the node takes no new work."""
+        return self._draining
+
+    def handle(self, event: Event, now_ms: int) -> list[Action]:
+        """Take one event and return the actions that follow from it."""
+        handler = _handlers.get(type(event).__name__)
+        assert handler is not None, f"no handler for {type(event).__name__}"
+        handler(self, event, now_ms)
+        return self._outbox.drain()
+
+    def read_status(self, now_ms: int) -> NodeStatus:
+        """Return what the health and status pages show."""
+        return build_status(
+            info=self.info,
+            configuration=self._configuration,
+            records=self._records,
+            homes=self._homes,
+            positions=self._positions,
+            nodes=self.fleet.list_nodes(),
+            draining=self._draining,
+            in_flight=self._entry.in_flight,
+        )
+
+    @_handlers.register("Started")
+    def _start(self, event: Started, now_ms: int) -> None:
+        self.fleet.start(now_ms)
+
+    @_handlers.register("RequestReceived")
+    def _receive_request(self, event: RequestReceived, now_ms: int) -> None:
+        self._entry.receive(event.caller_id, event.request, now_ms)
+
+    @_handlers.register("CallerGone")
+    def _caller_gone(self, event: CallerGone, now_ms: int) -> None:
+        """Let the request run on; its answer is dropped by the adapter."""
+
+    @_handlers.register("ConnectionOpened")
+    def _connection_opened(self, event: ConnectionOpened, now_ms: int) -> None:
+        home = self._find_owner(event.connection_id)
+        if home is not None:
+            home.connection_opened(event.connection_id, now_ms)
+
+    @_handlers.register("ConnectionClosed")
+    def _connection_closed(self, event: ConnectionClosed, now_ms: int) -> None:
+        home = self._find_owner(event.connection_id)
+        if home is not None:
+            home.connection_closed(event.connection_id, event.reason, now_ms)
+
+    @_handlers.register("ExecuteAnswered")
+    def _execute_answered(self, event: ExecuteAnswered, now_ms: int) -> None:
+        home = self._find_owner(event.connection_id)
+        if home is not None:
+            home.execute_answered(event.connection_id, event.answer, now_ms)
+
+    @_handlers.register("ControlAnswered")
+    def _control_answered(self, event: ControlAnswered, now_ms: int) -> None:
+        self._outbox.finish_control(event, now_ms)
+
+    @_handlers.register("PlatformAnswered")
+    def _platform_answered(self, event: PlatformAnswered, now_ms: int) -> None:
+        self._outbox.finish_platform(event, now_ms)
+
+    @_handlers.register("PeerReceived")
+    def _peer_received(self, event: PeerReceived, now_ms: int) -> None:
+        message = event.message
+        if isinstance(message, Forward):
+            self._receive_forward(message, now_ms)
+            return
+        if isinstance(message, ForwardAnswer):
+            self._entry.receive_forward_answer(message, now_ms)
+            return
+        if isinstance(message, Verdict):
+            supervisor = self._supervisors.get(message.database)
+            if supervisor is not None:
+                supervisor.receive_verdict(message, now_ms)
+            return
+        self.fleet.receive(event.peer, message, now_ms)
+
+    @_handlers.register("PeerLost")
+    def _peer_lost(self, event: PeerLost, now_ms: int) -> None:
+        self._entry.peer_lost(event.peer, now_ms)
+
+    @_handlers.register("TimerFired")
+    def _timer_fired(self, event: TimerFired, now_ms: int) -> None:
+        self.fleet.tick(now_ms)
+        self._resize_homes(now_ms)
+        for supervisor in self._supervisors.values():
+            supervisor.tick(now_ms)
+        for home in tuple(self._homes.values()):
+            home.tick(now_ms)
+        self._settlement.tick(now_ms)
+        self._acknowledger.tick(now_ms)
+        self._entry.tick(now_ms)
+        self._replace_leaving_primaries(now_ms)
+        self._report_drained()
+
+    @_handlers.register("ProcessPaused")
+    def _process_paused(self, event: ProcessPaused, now_ms: int) -> None:
+        self._outbox.log(PROCESS_PAUSED, gap_ms=event.gap_ms)
+        self.fleet.pause(event.gap_ms, now_ms)
+        for supervisor in self._supervisors.values():
+            supervisor.pause(event.gap_ms, now_ms)
+
+    @_handlers.register("DrainRequested")
+    def _drain(self, event: DrainRequested, now_ms: int) -> None:
+        if self._draining:
+            return
+        self._draining = True
+        self._entry.draining = True
+        self._outbox.log(PROXY_DRAINING, in_flight=self._entry.in_flight)
+        self.fleet.drain(now_ms)
+
+    def _receive_forward(self, message: Forward, now_ms: int) -> None:
+        self._forwarded += 1
+        request = HomeRequest(
+            request=message.request,
+            rank=message.request.rank or "",
+            deadline_ms=now_ms + message.deadline_ms,
+            required=message.required,
+            max_lag_ms=message.max_lag_ms,
+            on_reply=partial(self._send_forward_answer, message),
+        )
+        if not self._accept(message.member, request, now_ms):
+            self._send_forward_answer(message, HomeReply(status=ForwardStatus.NOT_HOME), now_ms)
+
+    def _send_forward_answer(self, message: Forward, reply: HomeReply, now_ms: int) -> None:
+        self._forwarded -= 1
+        self._outbox.send_peer(
+            message.sender,
+            ForwardAnswer(
+                forward_id=message.forward_id,
+                status=reply.status,
+                answer=reply.answer,
+                position=reply.position,
+                lag_ms=reply.lag_ms,
+                record=reply.record,
+            ),
+        )
+
+    def _accept(self, member: str, request: HomeRequest, now_ms: int) -> bool:
+        """Hand a request to the home of a member; return False when this node has no role."""
+        home = self._homes.get(member)
+        if home is None:
+            return False
+        home.accept(request, now_ms)
+        return True
+
+    def _find_owner(self, connection_id: int) -> MemberHome | None:
+        for home in self._homes.values():
+            if home.pool.find(connection_id) is not None:
+                return home
+        return None
+
+    def _apply_configuration(self, configuration: Configuration, now_ms: int) -> None:
+        self._configuration = configuration
+        self._entry.configuration = configuration
+        self._members = {
+            member.name: (service, database, member)
+            for service in configuration.services.values()
+            for database in service.databases
+            for member in database.members
+        }
+        for name, supervisor in self._supervisors.items():
+            found = configuration.find_database(name)
+            if found is not None:
+                supervisor.set_database(found[1])
+        self._outbox.log(CONFIGURATION_IN_FORCE, ticket=configuration.number)
+        self._resize_homes(now_ms)
+
+    def _resize_homes(self, now_ms: int) -> None:
+        """Take up and give up roles so that each home holds its connection budget."""
+        for service, database, member in self._members.values():
+            budget = self.fleet.connection_budget(database, member, now_ms)
+            if self._serves_nothing(member):
+                budget = 0
+            home = self._homes.get(member.name)
+            if home is None and budget > 0:
+                home = self._open_home(service, database, member)
+            if home is not None:
+                home.set_budget(budget, now_ms)
+        for name, home in tuple(self._homes.items()):
+            if name not in self._members:
+                home.set_budget(0, now_ms)
+            self._close_unused(name, home, now_ms)
+        self._supervise(now_ms)
+
+    def _serves_nothing(self, member: Member) -> bool:
+        record = None
+        found = self._members.get(member.name)
+        if found is not None:
+            record = self._records.get(found[1].name)
+        is_primary = (
+            record is not None
+            and record.active is not None
+            and record.active.primary == member.name
+        )
+        return self.fleet.is_leaving(member) and not is_primary
+
+    def _open_home(self, service: Service, database: Database, member: Member) -> MemberHome:
+        home = MemberHome(
+            service=service,
+            database=database,
+            member=member,
+            node=self.info.node,
+            outbox=self._outbox,
+            ids=self._ids,
+            positions=self._positions,
+            acknowledger=self._acknowledger,
+            settlement=self._settlement,
+            scheduler=self._policies.scheduler(service, database),
+            on_life=partial(self._note_life, database.name),
+        )
+        record = self._records.get(database.name)
+        if record is not None:
+            home.record = record
+        self._homes[member.name] = home
+        return home
+
+    def _close_unused(self, name: str, home: MemberHome, now_ms: int) -> None:
+        if not home.has_budget:
+            home.stop_roles(now_ms)
+            if home.unused:
+                del self._homes[name]
+                self.fleet.release_connections(home.member, now_ms)
+
+    def _supervise(self, now_ms: int) -> None:
+        wanted = {home.database.name for home in self._homes.values() if home.has_budget}
+        for name in wanted - self._supervisors.keys():
+            found = self._configuration.find_database(name)
+            if found is None:
+                continue
+            supervisor = GroupSupervisor(found[1], self.info, self.fleet, self._outbox, self._rng)
+            supervisor.on_record = self._publish_record
+            self._supervisors[name] = supervisor
+            record = self._records.get(name)
+            if record is not None:
+                supervisor.learn_record(record, 0)
+        for name in self._supervisors.keys() - wanted:
+            del self._supervisors[name]
+
+    def _build_supervisor(self, database: Database, now_ms: int) -> GroupSupervisor:
+        supervisor = GroupSupervisor(
+            database, self.info, self.fleet, self._outbox, self._rng, budget=self._probe_budget
+        )
+        supervisor.on_record = self._publish_record
+        supervisor.on_status = partial(self._note_status, database.name)
+        record = self._records.get(database.name)
+        if record is not None:
+            supervisor.learn_record(record, now_ms)
+        return supervisor
+
+    def _note_status(self, database: str, member: str, status: MemberStatus, now_ms: int) -> None:
+        self._positions.observe(database, member, status.position, status.lag_ms, now_ms)
+
+    def _note_life(self, database: str, member: str, now_ms: int) -> None:
+        supervisor = self._supervisors.get(database)
+        if supervisor is not None:
+            supervisor.note_life(member, now_ms)
+
+    def _publish_record(self, record: GroupRecord, now_ms: int) -> None:
+        if self._learn_record(record, now_ms):
+            self.fleet.share_record(record, now_ms)
+
+    def _learn_records(self, records: Sequence[GroupRecord], now_ms: int) -> None:
+        for record in records:
+            self._learn_record(record, now_ms)
+
+    def _learn_record(self, record: GroupRecord, now_ms: int) -> bool:
+        known = self._records.get(record.database)
+        if known is not None and not is_newer(record, known):
+            return False
+        self._records[record.database] = record
+        self._entry.records[record.database] = record
+        self._outbox.log(
+            TERM_LEARNED, database=record.database, term=record.term, state=record.state
+        )
+        supervisor = self._supervisors.get(record.database)
+        if supervisor is not None:
+            supervisor.learn_record(record, now_ms)
+        for home in self._homes.values():
+            if home.database.name == record.database:
+                home.learn_record(record, now_ms)
+        self._entry.record_changed(record.database, now_ms)
+        return True
+
+    def _find_primary(self, database: str) -> tuple[GroupRecord, Member] | None:
+        record = self._records.get(database)
+        found = self._configuration.find_database(database)
+        if record is None or record.active is None or found is None:
+            return None
+        member = found[1].find_member(record.active.primary)
+        return (record, member) if member is not None else None
+
+    def _replace_leaving_primaries(self, now_ms: int) -> None:
+        for name, supervisor in self._supervisors.items():
+            found = self._find_primary(name)
+            if found is not None and self.fleet.is_leaving(found[1]):
+                supervisor.request_change("primary is leaving", now_ms)
+
+    def _report_drained(self) -> None:
+        if not self._draining or self._drain_reported:
+            return
+        busy = self._entry.in_flight or self._forwarded
+        if busy or any(home.in_flight for home in self._homes.values()):
+            return
+        self._drain_reported = True
+        self._outbox.add(DrainFinished())
+
+
+def is_newer(record: GroupRecord, known: GroupRecord) -> bool:
+    """Return whether a group record replaces the known one; `active` follows `fencing`."""
+    if record.term != known.term:
+        return record.term > known.term
+    return record.state == "active" and known.state == "fencing"
--- /dev/null
+++ b/libs/proxy/burdockrun_proxy/pool.py
@@ -0,0 +1,101 @@
+"""Data connections of one member, kept within the budget of this node."""
+
+from collections.abc import Iterator
+from itertools import count
+
+from burdockrun_messages import CloseConnection, Member, OpenConnection, Outbox
+
+from burdockrun_proxy.const import RECONNECT_DELAY_MS
+from burdockrun_proxy.models import Connection, ConnectionState
+
+
+class ConnectionPool:
+    """Opens connections ahead of need and closes those beyond the budget."""
+
+    def __init__(self, member: Member, outbox: Outbox, ids: "count[int]") -> None:
+        self.member = member
+        self._outbox = outbox
+        self._ids = ids
+        self._connections: dict[int, Connection] = {}
+        self._idle: list[int] = []
+        self._retry_at_ms = 0
+
+    def __len__(self) -> int:
+        return len(self._connections)
+
+    def __iter__(self) -> Iterator[Connection]:
+        return iter(tuple(self._connections.values()))
+
+    def find(self, connection_id: int) -> Connection | None:
+        """Return a connection of this pool, or None."""
+        return self._connections.get(connection_id)
+
+    def has_idle(self) -> bool:
+        """Return whether a connection is free."""
+        return bool(self._idle)
+
+    def count_pinned(self) -> int:
+        """Return how many connections belong to transactions."""
+        return sum(1 for connection in self if connection.transaction is not None)
+
+    def resize(self, budget: int, now_ms: int) -> None:
+        """Open or close connections towards the budget; busy ones close when they are done."""
+        while len(self._connections) < budget and now_ms >= self._retry_at_ms:
+            self._open()
+        surplus = len(self._connections) - budget
+        while surplus > 0 and self._idle:
+            self.close(self._idle[-1])
+            surplus -= 1
+        for connection in self:
+            if connection.state is not ConnectionState.IDLE:
+                connection.close_when_idle = surplus > 0
+                surplus -= 1 if surplus > 0 else 0
+
+    def mark_open(self, connection_id: int) -> None:
+        """Make a newly opened connection available."""
+        connection = self._connections.get(connection_id)
+        if connection is not None and connection.state is ConnectionState.OPENING:
+            self.give_back(connection)
+
+    def take_idle(self) -> Connection | None:
+        """Return a free connection and mark it busy."""
+        if not self._idle:
+            return None
+        connection = self._connections[self._idle.pop()]
+        connection.state = ConnectionState.BUSY
+        return connection
+
+    def give_back(self, connection: Connection) -> None:
+        """Make a connection free again, or close it when it is beyond the budget."""
+        connection.execution = None
+        connection.transaction = None
+        if connection.close_when_idle:
+            self.close(connection.connection_id)
+            return
+        connection.state = ConnectionState.IDLE
+        self._idle.append(connection.connection_id)
+
+    def close(self, connection_id: int) -> Connection | None:
+        """Close a connection, whatever its state, and return it."""
+        connection = self.forget(connection_id)
+        if connection is not None:
+            self._outbox.add(CloseConnection(connection_id=connection_id))
+        return connection
+
+    def forget(self, connection_id: int) -> Connection | None:
+        """Remove a connection that is closed already and return it."""
+        connection = self._connections.pop(connection_id, None)
+        if connection is not None and connection_id in self._idle:
+            self._idle.remove(connection_id)
+        return connection
+
+    def delay_opening(self, now_ms: int) -> None:
+        """Wait before the next attempt to open, after a failure."""
+        self._retry_at_ms = now_ms + RECONNECT_DELAY_MS
+
+    def _open(self) -> None:
+        connection_id = next(self._ids)
+        self._connections[connection_id] = Connection(
+            connection_id=connection_id, state=ConnectionState.OPENING
+        )
+        self._outbox.add(OpenConnection(connection_id=connection_id, member=self.member))
