--- a/libs/messages/burdockrun_messages/__init__.py
+++ b/libs/messages/burdockrun_messages/__init__.py
@@ -78,6 +78,8 @@
 )
 from burdockrun_messages.outbox import OnControlReply, OnPlatformReply, Outbox
 from burdockrun_messages.peers import (
+    AuditEntry,
+    AuditPush,
     Digest,
     Forward,
     ForwardAnswer,
@@ -134,6 +136,8 @@
     "Action",
     "ActiveTerm",
     "AskStatus",
+    "AuditEntry",
+    "AuditPush",
     "AwaitConfirmed",
     "CallControl",
     "CallPlatform",
