--- a/libs/settings/burdockrun_settings/const.py
+++ b/libs/settings/burdockrun_settings/const.py
@@ -1,9 +1,7 @@
-"""Keys, limits and log events of settings and ticket files."""
+"""Keys and limits of settings and ticket files."""
 
 from typing import Final
 
-from burdockrun_base import Level, define_event
-
 CONF_CONNECTIONS: Final = "connections"
 CONF_CONTROL_PORT: Final = "control_port"
 CONF_DATABASES: Final = "databases"
@@ -48,10 +46,3 @@
 DEFAULT_CONTROL_TIMEOUT_MS: Final = 1_000
 DEFAULT_CONNECT_TIMEOUT_MS: Final = 1_000
 DEFAULT_STATSD_PORT: Final = 8_125
-
-EVENT_SETTINGS_LOADED: Final = define_event(
-    100, "settings_loaded", Level.INFO, "The settings file was read and is valid."
-)
-EVENT_SETTINGS_REFUSED: Final = define_event(
-    101, "settings_refused", Level.ERROR, "The settings file has a fault; one event for each."
-)
