Write the load program's log as plain lines

Cause: Without the absl handler each line of the JSON log had a prefix and was not JSON. Change: The program uses the absl handler with the message alone. Result: pytest tests/load/test_program.py: 7 passed.

--- a/libs/load/burdockrun_load/program.py
+++ b/libs/load/burdockrun_load/program.py
@@ -39,6 +39,7 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Run one load and return the exit status."""
     arguments = build_parser().parse_args(argv)
+    logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.get_absl_handler().setFormatter(standard_logging.Formatter("%(message)s"))
     if not arguments.proxies and arguments.direct is None:
