--- a/libs/settings/burdockrun_settings/models.py
+++ b/libs/settings/burdockrun_settings/models.py
@@ -3,18 +3,13 @@
 from dataclasses import dataclass
 from typing import Annotated, Literal
 
-from burdockrun_messages import MAX_BODY_BYTES, NodeInfo, Service
+from burdockrun_messages import NodeInfo, Service
 from pydantic import AfterValidator, Field
 from pydantic_core import PydanticCustomError
 
 from burdockrun_settings.const import (
-    DEFAULT_CONNECT_TIMEOUT_MS,
-    DEFAULT_CONTROL_TIMEOUT_MS,
     DEFAULT_DRAIN_TIMEOUT_MS,
-    DEFAULT_MAX_CALLERS,
-    DEFAULT_MAX_IN_FLIGHT,
     DEFAULT_MAX_IN_FLIGHT_PER_ACCOUNT,
-    DEFAULT_PLATFORM_TIMEOUT_MS,
     DEFAULT_STATSD_PORT,
     MAX_PORT,
     MIN_SESSION_KEY_LENGTH,
@@ -77,13 +72,7 @@
     statsd: StatsdSettings | None = None
     log_format: Literal["json", "text"] = "text"
     drain_timeout_ms: Amount = DEFAULT_DRAIN_TIMEOUT_MS
-    max_in_flight: Amount = DEFAULT_MAX_IN_FLIGHT
     max_in_flight_per_account: Amount = DEFAULT_MAX_IN_FLIGHT_PER_ACCOUNT
-    max_callers: Amount = DEFAULT_MAX_CALLERS
-    max_body_bytes: Annotated[int, Field(strict=True, ge=1, le=MAX_BODY_BYTES)] = MAX_BODY_BYTES
-    platform_timeout_ms: Amount = DEFAULT_PLATFORM_TIMEOUT_MS
-    control_timeout_ms: Amount = DEFAULT_CONTROL_TIMEOUT_MS
-    connect_timeout_ms: Amount = DEFAULT_CONNECT_TIMEOUT_MS
 
     @property
     def info(self) -> NodeInfo:
