Open connections one at a time after a failure

Cause: with three endpoints down a home opened its whole budget every 200 ms and logged each refusal, 45 warnings in the first second. Change: after a failure one attempt runs at a time with a delay of 50 ms to 1 s, and only the first failure is logged.

--- a/libs/proxy/burdockrun_proxy/home.py
+++ b/libs/proxy/burdockrun_proxy/home.py
@@ -144,8 +144,8 @@
         connection = self.pool.forget(connection_id)
         if connection is None:
             return
-        self._outbox.log(CONNECTION_FAILED, member=self.member.name, reason=reason)
-        self.pool.delay_opening(now_ms)
+        if self.pool.note_failure(now_ms):
+            self._outbox.log(CONNECTION_FAILED, member=self.member.name, reason=reason)
         self.transactions.connection_lost(connection)
         if connection.execution is not None:
             self._execution_lost(connection.execution, now_ms)
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -73,7 +73,8 @@
     """All decisions of one proxy process, without any I/O.
 
     `handle` takes an event with the time in ms and returns the actions to carry out. All
-    randomness comes from `rng`.
+    randomness comes from `rng`. `wall_offset_ms` added to a time gives the time since the Unix
+    epoch, for the audit trail.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         rng: Random,
         account_limit: int = MAX_ACCOUNT_IN_FLIGHT,
         policies: Policies = DEFAULT_POLICIES,
+        wall_offset_ms: int = 0,
     ) -> None:
         self.info = node
         self._rng = rng
@@ -103,7 +105,9 @@
         self._drain_reported = False
         self._configuration = Configuration()
         self._members: dict[str, tuple[Service, Database, Member]] = {}
-        self.fleet = FleetAgent(node, seeds, self._outbox, rng, ticket_format)
+        self.fleet = FleetAgent(
+            node, seeds, self._outbox, rng, ticket_format, wall_offset_ms=wall_offset_ms
+        )
         self.fleet.on_configuration = self._apply_configuration
         self.fleet.on_records = self._learn_records
         self._acknowledger = Acknowledger(self._outbox)
--- a/libs/proxy/burdockrun_proxy/pool.py
+++ b/libs/proxy/burdockrun_proxy/pool.py
@@ -5,7 +5,7 @@
 
 from burdockrun_messages import CloseConnection, Member, OpenConnection, Outbox
 
-from burdockrun_proxy.const import RECONNECT_DELAY_MS
+from burdockrun_proxy.const import RECONNECT_DELAY_MS, RECONNECT_MAX_DELAY_MS
 from burdockrun_proxy.models import Connection, ConnectionState
 
 
@@ -19,6 +19,7 @@
         self._connections: dict[int, Connection] = {}
         self._idle: list[int] = []
         self._retry_at_ms = 0
+        self._failures = 0
 
     def __len__(self) -> int:
         return len(self._connections)
@@ -40,7 +41,9 @@
 
     def resize(self, budget: int, now_ms: int) -> None:
         """Open or close connections towards the budget; busy ones close when they are done."""
-        while len(self._connections) < budget and now_ms >= self._retry_at_ms:
+        # One attempt at a time after a failure, so that an endpoint that is down sees few of them.
+        wanted = min(budget, 1) if self._failures else budget
+        while len(self._connections) < wanted and now_ms >= self._retry_at_ms:
             self._open()
         surplus = len(self._connections) - budget
         while surplus > 0 and self._idle:
@@ -55,6 +58,7 @@
         """Make a newly opened connection available."""
         connection = self._connections.get(connection_id)
         if connection is not None and connection.state is ConnectionState.OPENING:
+            self._failures = 0
             self.give_back(connection)
 
     def take_idle(self) -> Connection | None:
@@ -89,9 +93,12 @@
             self._idle.remove(connection_id)
         return connection
 
-    def delay_opening(self, now_ms: int) -> None:
-        """Wait before the next attempt to open, after a failure."""
-        self._retry_at_ms = now_ms + RECONNECT_DELAY_MS
+    def note_failure(self, now_ms: int) -> bool:
+        """Wait before the next attempt to open; return whether this is the first failure."""
+        delay_ms = RECONNECT_DELAY_MS * 2 ** min(self._failures, 8)
+        self._retry_at_ms = now_ms + min(delay_ms, RECONNECT_MAX_DELAY_MS)
+        self._failures += 1
+        return self._failures == 1
 
     def _open(self) -> None:
         connection_id = next(self._ids)
--- a/libs/proxy/burdockrun_proxy/program.py
+++ b/libs/proxy/burdockrun_proxy/program.py
@@ -98,6 +98,7 @@
         ticket_format=build_ticket_format(),
         rng=Random(SystemRandom().getrandbits(64)),
         account_limit=settings.max_in_flight_per_account,
+        wall_offset_ms=app.clock.wall_ms() - app.clock.now_ms(),
     )
     platform = PlatformClient(f"http://{settings.platform.host}:{settings.platform.port}", session)
     return NodeDriver(app, node, session, platform)
