Schedule ranks by target, floor and expected wait

Cause: the first scheduler served strictly by rank, so a flood of the most urgent rank starved the others, and its queue operations scanned all waiting work. Change: floors as slot-time credit, admission by expected wait with a tail margin, shorter queues in overload, detection of slots that stop, deficit round robin among accounts, expiry by a heap, and a robust estimate of the service time.

--- a/libs/admission/burdockrun_admission/const.py
+++ b/libs/admission/burdockrun_admission/const.py
@@ -5,7 +5,33 @@
 from burdockrun_base import Level, define_event
 
 FIRST_SERVICE_MS: Final = 4.0
-SERVICE_EWMA_WEIGHT: Final = 0.05
+FIRST_DEVIATION_MS: Final = 2.0
+FIRST_SAMPLES: Final = 30
+MIN_SERVICE_MS: Final = 0.1
+SERVICE_EWMA_WEIGHT: Final = 0.03
+# A sample this many deviations above the mean counts as an outlier and is cut off there.
+OUTLIER_DEVIATIONS: Final = 5.0
+# Mean absolute deviations above the mean that 99.9% of ordinary service times stay below.
+TAIL_DEVIATIONS: Final = 5.0
+# The same for the sum of the service times of the work ahead, which is closer to normal.
+QUEUE_DEVIATIONS: Final = 4.0
+
+USAGE_WINDOW_MS: Final = 500.0
+ADMITTED_EWMA_WEIGHT: Final = 0.02
+MIN_SHARE: Final = 0.01
+# Floor credit is kept within this many service times.
+MAX_FLOOR_CREDIT: Final = 8.0
+# A free slot is given to waiting work within the same event; a longer gap means that the member
+# takes nothing. Gaps last from 12 ms (opening a connection) to seconds (a new primary), so the
+# expected rest of a gap is a multiple of its age.
+READY_GRACE_MS: Final = 2
+READY_STALL_FACTOR: Final = 3.0
+MIN_PROBE_MS: Final = 20
+
+MIN_ACCOUNT_WEIGHT: Final = 0.05
+MAX_ACCOUNT_CHARGE: Final = 4.0
+MIN_STALE_ENTRIES: Final = 64
+
 MIN_RETRY_AFTER_MS: Final = 20
 MAX_RETRY_AFTER_MS: Final = 5_000
 ACCOUNT_SPARE_FACTOR: Final = 4
--- /dev/null
+++ b/libs/admission/burdockrun_admission/first_come.py
@@ -0,0 +1,36 @@
+"""First come, first served: the naive queue that the scheduler is compared with."""
+
+from collections import deque
+
+from result import Ok, Result
+
+from burdockrun_admission.models import Refusal, Take, Work
+
+
+class FirstComeQueue:
+    """Queue with the interface of `RankScheduler` that admits everything in order of arrival."""
+
+    def __init__(self, slots: int) -> None:
+        self._slots = slots
+        self._queue: deque[Work] = deque()
+        self._started: set[int] = set()
+
+    def offer(self, work: Work, now_ms: int) -> Result[None, Refusal]:
+        """Let the request wait."""
+        del now_ms
+        self._queue.append(work)
+        return Ok(None)
+
+    def take(self, now_ms: int) -> Take:
+        """Give the oldest request a slot, if one is free."""
+        del now_ms
+        if not self._queue or len(self._started) >= self._slots:
+            return Take()
+        work = self._queue.popleft()
+        self._started.add(work.work_id)
+        return Take(work=work)
+
+    def complete(self, work_id: int, now_ms: int) -> None:
+        """Free the slot of a request."""
+        del now_ms
+        self._started.discard(work_id)
--- a/libs/admission/burdockrun_admission/scheduler.py
+++ b/libs/admission/burdockrun_admission/scheduler.py
@@ -1,24 +1,69 @@
 """Scheduler of the slots of one member."""
 
-from collections import deque
+import math
 from collections.abc import Mapping, Sequence
+from typing import Final, NamedTuple
 
 from burdockrun_messages import Code, Rank
 from result import Err, Ok, Result
 
 from burdockrun_admission.const import (
-    FIRST_SERVICE_MS,
+    ADMITTED_EWMA_WEIGHT,
+    MAX_FLOOR_CREDIT,
     MAX_RETRY_AFTER_MS,
+    MIN_PROBE_MS,
     MIN_RETRY_AFTER_MS,
-    SERVICE_EWMA_WEIGHT,
+    MIN_SHARE,
+    QUEUE_DEVIATIONS,
+    READY_GRACE_MS,
+    READY_STALL_FACTOR,
 )
 from burdockrun_admission.models import Refusal, Take, Work
+from burdockrun_admission.queues import RankQueue
+from burdockrun_admission.service import ServiceEstimate, Usage
+
+_ADMITTED: Final[Ok[None]] = Ok(None)
+_NOTHING: Final = Take()
+
+
+class _RankState:
+    """Queue, estimates and floor credit of one rank."""
+
+    __slots__ = ("admitted_share", "credit_ms", "margin_ms", "queue", "rank", "service", "usage")
+
+    def __init__(self, rank: Rank, slots: int, weights: Mapping[str, float]) -> None:
+        self.rank = rank
+        self.queue = RankQueue(weights)
+        self.service = ServiceEstimate()
+        self.usage = Usage(slots)
+        self.credit_ms = 0.0
+        self.admitted_share = 1.0
+        self.margin_ms = 0.0
+
+    def learn(self, sample_ms: float, now_ms: int) -> None:
+        """Take one measured service time into account."""
+        service = self.service
+        service.learn(sample_ms)
+        self.usage.add(sample_ms, now_ms)
+        # Work this close to its deadline is dropped. A quarter of the target bounds the effect of
+        # an estimate that has gone wrong.
+        self.margin_ms = min(service.mean_ms + service.deviation_ms, self.rank.target_ms / 4)
+
+
+class _Started(NamedTuple):
+    """Work in service, since when, and the slot time that was charged for it in advance."""
+
+    work: Work
+    at_ms: int
+    cost_ms: float
 
 
 class RankScheduler:
     """Decides which request may enter, and which one gets the next free slot.
 
     `account_weights` gives the relative shares of client accounts within a rank, 1 by default.
+    Callers call `take` whenever the member can accept a statement; `expire` reports dropped work
+    while it cannot.
     """
 
     def __init__(
@@ -27,68 +72,203 @@
         slots: int,
         account_weights: Mapping[str, float] | None = None,
     ) -> None:
-        self._ranks = {rank.name: rank for rank in sorted(ranks, key=lambda rank: rank.order)}
         self._slots = slots
-        self._account_weights = dict(account_weights or {})
-        self._queues: dict[str, deque[Work]] = {name: deque() for name in self._ranks}
-        self._started: dict[int, int] = {}
-        self._service_ms = FIRST_SERVICE_MS
+        weights = dict(account_weights or {})
+        ordered = sorted(ranks, key=lambda rank: rank.order)
+        self._states = [_RankState(rank, slots, weights) for rank in ordered]
+        self._floored = [state for state in self._states if state.rank.floor > 0.0]
+        self._uncredited_ms = 0.0
+        self._waiting = 0
+        self._by_name = {state.rank.name: state for state in self._states}
+        self._started: dict[int, _Started] = {}
+        self._ready_since_ms: int | None = None
+        self._progress_ms = 0
+        self._next_probe_ms = 0
 
     @property
     def waiting(self) -> int:
         """Number of requests that wait."""
-        return sum(len(queue) for queue in self._queues.values())
+        return self._waiting
 
     @property
     def in_service(self) -> int:
         """Number of slots in use."""
         return len(self._started)
 
-    def offer(self, work: Work, now_ms: int) -> Result[None, Refusal]:
-        """Let a request wait, or refuse it when it is not expected to be served in time."""
-        rank = self._ranks.get(work.rank)
-        if rank is None:
+    def offer(self, work: Work, now_ms: int, *, hold: bool = False) -> Result[None, Refusal]:
+        """Let a request wait, or refuse it when it is not expected to be served in time.
+
+        In time means within the target of its rank and its deadline. With `hold` only the deadline
+        counts: the request waits out a gap and is served behind the work of its rank that can
+        still meet the target.
+        """
+        state = self._by_name.get(work.rank)
+        if state is None:
             return Err(Refusal(code=Code.UNKNOWN_RANK))
         if work.deadline_ms <= now_ms:
             return Err(Refusal(code=Code.DEADLINE))
-        ahead = sum(
-            len(self._queues[name])
-            for name, other in self._ranks.items()
-            if other.order <= rank.order
+        if not hold and self._is_idle(now_ms):
+            self._admit(state, work, now_ms)
+            return _ADMITTED
+        limit_ms = work.deadline_ms
+        if not hold:
+            limit_ms = min(limit_ms, work.arrived_ms + state.rank.target_ms)
+        stall_ms = 0.0 if hold else self._stall_ms(state, now_ms)
+        wait_ms, crowded = self._estimate_wait(state, work.account, now_ms, hold=hold)
+        allowed_ms = limit_ms - now_ms - state.service.tail_ms - stall_ms
+        admitted = wait_ms <= allowed_ms and not (
+            crowded and wait_ms > allowed_ms * state.admitted_share
         )
-        wait_ms = ahead * self._service_ms / self._slots
-        allowed_ms = min(work.arrived_ms + rank.target_ms, work.deadline_ms) - now_ms
-        if wait_ms + self._service_ms > allowed_ms:
-            retry_after_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, round(wait_ms)))
-            return Err(Refusal(code=Code.OVERLOADED, retry_after_ms=retry_after_ms))
-        self._queues[work.rank].append(work)
-        return Ok(None)
+        if not stall_ms and not hold:
+            state.admitted_share += ADMITTED_EWMA_WEIGHT * (admitted - state.admitted_share)
+        if admitted:
+            self._admit(state, work, now_ms, late=hold)
+            return _ADMITTED
+        retry_ms = (wait_ms + stall_ms) / max(MIN_SHARE, state.admitted_share)
+        return Err(Refusal(code=Code.OVERLOADED, retry_after_ms=_clamp_retry(retry_ms)))
 
     def take(self, now_ms: int) -> Take:
-        """Give the next request a slot, if one is free, and drop what has expired."""
-        expired: list[Work] = []
-        for queue in self._queues.values():
-            while queue and len(self._started) < self._slots:
-                work = queue.popleft()
-                if work.deadline_ms > now_ms:
-                    self._started[work.work_id] = now_ms
-                    return Take(work=work, expired=tuple(expired))
-                expired.append(work)
-        return Take(expired=tuple(expired))
+        """Give the next request a slot, if one is free, and drop what cannot finish in time."""
+        expired = self.expire(now_ms)
+        if len(self._started) >= self._slots:
+            return Take(expired=expired) if expired else _NOTHING
+        self._ready_since_ms = None
+        state = self._choose()
+        if state is None:
+            return Take(expired=expired) if expired else _NOTHING
+        cost_ms = state.service.mean_ms
+        self._pay_floors(state, cost_ms)
+        work = state.queue.pop(now_ms + math.ceil(cost_ms) - state.rank.target_ms)
+        if work is not None:
+            self._started[work.work_id] = _Started(work, now_ms, cost_ms)
+            self._waiting -= 1
+        self._progress_ms = now_ms
+        self._note_ready(now_ms)
+        return Take(work=work, expired=expired)
+
+    def expire(self, now_ms: int) -> tuple[Work, ...]:
+        """Drop waiting work that cannot finish before its deadline."""
+        expired: list[Work] | None = None
+        for state in self._states:
+            deadlines = state.queue.deadlines
+            if deadlines and deadlines[0][0] < now_ms + state.margin_ms:
+                dropped = state.queue.expire(now_ms + state.margin_ms)
+                self._waiting -= len(dropped)
+                expired = expired + dropped if expired else dropped
+        return tuple(expired) if expired else ()
 
     def complete(self, work_id: int, now_ms: int) -> None:
         """Free the slot of a request and learn its service time."""
-        started_ms = self._started.pop(work_id, None)
-        if started_ms is None:
+        started = self._started.pop(work_id, None)
+        if started is None:
             return
-        sample_ms = now_ms - started_ms
-        self._service_ms += SERVICE_EWMA_WEIGHT * (sample_ms - self._service_ms)
+        self._progress_ms = now_ms
+        self._note_ready(now_ms)
+        state = self._by_name[started.work.rank]
+        sample_ms = now_ms - started.at_ms
+        extra_ms = sample_ms - started.cost_ms
+        self._uncredited_ms += extra_ms
+        state.credit_ms -= extra_ms
+        state.queue.charge(started.work.account, extra_ms / started.cost_ms)
+        state.learn(sample_ms, now_ms)
 
     def cancel(self, work_id: int) -> bool:
         """Withdraw a waiting request; False when it does not wait (any more)."""
-        for queue in self._queues.values():
-            for work in queue:
-                if work.work_id == work_id:
-                    queue.remove(work)
-                    return True
-        return False
+        if not any(state.queue.remove(work_id) for state in self._states):
+            return False
+        self._waiting -= 1
+        return True
+
+    def _admit(self, state: _RankState, work: Work, now_ms: int, *, late: bool = False) -> None:
+        state.queue.push(work, late=late)
+        self._waiting += 1
+        self._note_ready(now_ms)
+
+    def _note_ready(self, now_ms: int) -> None:
+        """Remember since when a free slot and waiting work have not met."""
+        if self._ready_since_ms is None and self._waiting and len(self._started) < self._slots:
+            self._ready_since_ms = now_ms
+
+    def _is_idle(self, now_ms: int) -> bool:
+        """Return whether to admit without an estimate: nothing waits and a slot is free.
+
+        While the slots have stopped this happens in doubling intervals, so that a wrong estimate
+        cannot refuse everything for good.
+        """
+        if self._waiting or len(self._started) >= self._slots:
+            return False
+        if self._ready_since_ms is None:
+            return True
+        gap_ms = now_ms - self._ready_since_ms
+        if gap_ms > READY_GRACE_MS and now_ms < self._next_probe_ms:
+            return False
+        self._next_probe_ms = now_ms + max(MIN_PROBE_MS, gap_ms)
+        return True
+
+    def _stall_ms(self, state: _RankState, now_ms: int) -> float:
+        """Return how long slots that have stopped are expected to stay so; 0 when they work."""
+        if self._ready_since_ms is not None:
+            gap_ms = now_ms - self._ready_since_ms
+            return READY_STALL_FACTOR * gap_ms if gap_ms > READY_GRACE_MS else 0.0
+        gap_ms = now_ms - self._progress_ms
+        if self._started and gap_ms > 2.0 * state.service.tail_ms:
+            return gap_ms
+        return 0.0
+
+    def _estimate_wait(
+        self, state: _RankState, account: str, now_ms: int, *, hold: bool
+    ) -> tuple[float, bool]:
+        """Return the wait in ms that hardly any request exceeds, and whether the rank is crowded.
+
+        Crowded means that enough work of this rank waits to keep the slots busy.
+        """
+        ahead = float(len(state.queue.works)) if hold else state.queue.count_ahead(account)
+        crowded = ahead > self._slots
+        ahead_ms = (ahead + 1.0) * state.service.mean_ms
+        share = 1.0
+        more_urgent = True
+        for other in self._states:
+            if other is state:
+                more_urgent = False
+            elif more_urgent:
+                waiting = other.queue.in_time
+                ahead += waiting
+                ahead_ms += waiting * other.service.mean_ms
+                share -= other.usage.share(now_ms)
+            elif other.queue.works:
+                share -= other.rank.floor
+        share = max(share, state.rank.floor, MIN_SHARE)
+        spread_ms = QUEUE_DEVIATIONS * state.service.deviation_ms * math.sqrt(ahead)
+        return (ahead_ms / share + spread_ms) / self._slots, crowded
+
+    def _choose(self) -> _RankState | None:
+        """Return the rank whose floor is owed most, or else the most urgent one that waits."""
+        owed: _RankState | None = None
+        first: _RankState | None = None
+        for state in self._states:
+            if not state.queue.works:
+                continue
+            if first is None:
+                first = state
+            if state.credit_ms > 0.0 and (owed is None or state.credit_ms > owed.credit_ms):
+                owed = state
+        return owed or first
+
+    def _pay_floors(self, chosen: _RankState, cost_ms: float) -> None:
+        """Charge slot time to `chosen`, and credit every rank that waits with its floor of it."""
+        spent_ms = cost_ms + self._uncredited_ms
+        self._uncredited_ms = 0.0
+        chosen.credit_ms -= cost_ms
+        for state in self._floored:
+            credit_ms = state.credit_ms
+            limit_ms = state.service.mean_ms
+            if state.queue.works:
+                earned_ms = state.rank.floor * spent_ms
+                credit_ms = min(credit_ms + earned_ms, MAX_FLOOR_CREDIT * limit_ms)
+            elif credit_ms > 0.0:
+                credit_ms = 0.0
+            state.credit_ms = credit_ms if credit_ms > -limit_ms else -limit_ms
+
+
+def _clamp_retry(retry_ms: float) -> int:
+    return round(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, retry_ms)))
--- /dev/null
+++ b/libs/admission/burdockrun_admission/service.py
@@ -0,0 +1,79 @@
+"""Estimates that the scheduler learns: service time and use of the slots."""
+
+import math
+
+from burdockrun_admission.const import (
+    FIRST_DEVIATION_MS,
+    FIRST_SAMPLES,
+    FIRST_SERVICE_MS,
+    MIN_SERVICE_MS,
+    OUTLIER_DEVIATIONS,
+    SERVICE_EWMA_WEIGHT,
+    TAIL_DEVIATIONS,
+    USAGE_WINDOW_MS,
+)
+
+
+class ServiceEstimate:
+    """Service time as exponentially weighted mean and mean absolute deviation, in ms.
+
+    Samples are cut off at `OUTLIER_DEVIATIONS` above the mean, so one slow statement hardly moves
+    the estimate, while a lasting change is followed within some tens of samples.
+    """
+
+    __slots__ = ("_samples", "deviation_ms", "mean_ms")
+
+    def __init__(self) -> None:
+        self.mean_ms = FIRST_SERVICE_MS
+        self.deviation_ms = FIRST_DEVIATION_MS
+        self._samples = 0
+
+    @property
+    def tail_ms(self) -> float:
+        """Service time that 99.9% of ordinary statements stay below."""
+        return self.mean_ms + TAIL_DEVIATIONS * self.deviation_ms
+
+    def learn(self, sample_ms: float) -> None:
+        """Take one measured service time into account."""
+        # Cutting off at least one ms above the mean keeps the estimate able to leave zero.
+        limit_ms = OUTLIER_DEVIATIONS * self.deviation_ms + 1.0
+        difference_ms = min(sample_ms - self.mean_ms, limit_ms)
+        weight = SERVICE_EWMA_WEIGHT
+        if self._samples < FIRST_SAMPLES:
+            self._samples += 1
+            weight = max(weight, 1.0 / (self._samples + 4))
+        self.mean_ms = max(MIN_SERVICE_MS, self.mean_ms + weight * difference_ms)
+        self.deviation_ms += weight * (abs(difference_ms) - self.deviation_ms)
+
+
+class Usage:
+    """Share of the slots that was used recently, decaying over `USAGE_WINDOW_MS`.
+
+    >>> usage = Usage(slots=2)
+    >>> for now_ms in range(0, 10_000, 4):
+    ...     usage.add(4, now_ms)
+    >>> round(usage.share(10_000), 2)
+    0.5
+    """
+
+    __slots__ = ("_at_ms", "_busy_ms", "_slots")
+
+    def __init__(self, slots: int) -> None:
+        self._slots = slots
+        self._busy_ms = 0.0
+        self._at_ms = 0
+
+    def add(self, busy_ms: float, now_ms: int) -> None:
+        """Record slot time that ended now."""
+        self._busy_ms = self._decayed(now_ms) + busy_ms
+        self._at_ms = now_ms
+
+    def share(self, now_ms: int) -> float:
+        """Return the share of all slots, from 0 to 1."""
+        return min(1.0, self._decayed(now_ms) / (USAGE_WINDOW_MS * self._slots))
+
+    def _decayed(self, now_ms: int) -> float:
+        elapsed_ms = now_ms - self._at_ms
+        if elapsed_ms <= 0:
+            return self._busy_ms
+        return self._busy_ms * math.exp(-elapsed_ms / USAGE_WINDOW_MS)
