--- a/libs/fleet/burdockrun_fleet/__init__.py
+++ b/libs/fleet/burdockrun_fleet/__init__.py
@@ -7,18 +7,32 @@
 from burdockrun_fleet.membership import Membership
 from burdockrun_fleet.models import InForce, SnapshotHead, SpreadOptions, TicketFormat
 from burdockrun_fleet.reports import audit_key
+from burdockrun_fleet.submission import (
+    Accepted,
+    Conflict,
+    Rejected,
+    SubmissionResult,
+    TicketSubmission,
+    Unknown,
+)
 from burdockrun_fleet.tickets import TicketFeed
 
 __all__ = [
+    "Accepted",
     "AuditTrail",
+    "Conflict",
     "FleetAgent",
     "HomeTable",
     "InForce",
     "Membership",
+    "Rejected",
     "SnapshotHead",
     "SpreadOptions",
+    "SubmissionResult",
     "TicketFeed",
     "TicketFormat",
+    "TicketSubmission",
+    "Unknown",
     "audit_key",
     "snapshot_key",
     "split_share",
--- a/libs/fleet/burdockrun_fleet/campaign.py
+++ b/libs/fleet/burdockrun_fleet/campaign.py
@@ -10,6 +10,7 @@
     CAMPAIGN_MAX_RANK,
     CAMPAIGN_RANK_MS,
     CAMPAIGN_SILENCE_MS,
+    INTRODUCE_BATCH,
     LOOK_MS,
     POLL_BATCH,
     POLL_MS,
@@ -42,6 +43,7 @@
         self._not_before_ms = 0
         self._next_poll_ms = 0
         self._next_look_ms = 0
+        self._next_introduction_ms = 0
         self._polled_number = -1
         self._poll_from_ms = 0
 
@@ -74,6 +76,7 @@
             self._heard_ms = now_ms
             self._poll(now_ms)
             self._look_for_empty(now_ms)
+            self._introduce(now_ms)
         elif self._own.lease.holder:
             self.coordinator = self._own.lease.holder
             self._own.lease.holder = ""
@@ -100,7 +103,7 @@
             return False
         silent = now_ms - self._heard_ms >= 2 * CAMPAIGN_SILENCE_MS
         known = self.coordinator and self.coordinator != self._parts.node.node
-        if known and not silent and self._membership.is_alive(self.coordinator):
+        if known and not silent and not self._membership.is_dead(self.coordinator):
             self._vacant_ms = None
             return False
         if self._vacant_ms is None:
@@ -164,6 +167,19 @@
         for info in chosen:
             self._membership.send_ping(info, now_ms)
 
+    def _introduce(self, now_ms: int) -> None:
+        """Ping VMs of the domain that are not known yet, so that newcomers learn of the fleet."""
+        if now_ms < self._next_introduction_ms:
+            return
+        self._next_introduction_ms = now_ms + POLL_MS
+        unknown = [
+            info
+            for info in self._parts.vms.list_nodes()
+            if info.domain == self._domain and self._membership.is_unknown(info.node)
+        ]
+        for info in self._parts.rng.sample(unknown, min(INTRODUCE_BATCH, len(unknown))):
+            self._membership.send_ping(info, now_ms)
+
     def _look_for_empty(self, now_ms: int) -> None:
         if now_ms < self._next_look_ms:
             return
--- a/libs/fleet/burdockrun_fleet/lease.py
+++ b/libs/fleet/burdockrun_fleet/lease.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable
 
 from burdockrun_messages import (
+    GetKey,
     GrantLease,
+    KeyEntry,
     LeaseReply,
     NodeInfo,
     Outbox,
@@ -76,8 +78,7 @@
             if now_ms >= self._next_renewal_ms:
                 self._grant(now_ms)
         elif wanted:
-            self._lease = f"{self._node.node}/{self._rng.getrandbits(64):016x}"
-            self._grant(now_ms)
+            self._look(now_ms)
 
     def resign(self, now_ms: int) -> None:
         """Give the lease back, so that another node need not wait for its end."""
@@ -86,6 +87,24 @@
         self._port.call(RevokeLease(lease=self._lease), _ignore, now_ms)
         self._lose(now_ms)
 
+    def _look(self, now_ms: int) -> None:
+        """Read the holder first: most candidates lose, and a read is all that they cost."""
+
+        def finish(reply: PlatformReply, then_ms: int) -> None:
+            self._waiting = False
+            if not isinstance(reply, KeyEntry):
+                self._backoff.fail(then_ms)
+                return
+            if reply.revision > 0:
+                self.holder = read_holder(reply.value)
+                self._backoff.fail(then_ms)
+                return
+            self._lease = f"{self._node.node}/{self._rng.getrandbits(64):016x}"
+            self._grant(then_ms)
+
+        operation = GetKey(key=COORDINATOR_PREFIX + self._domain)
+        self._waiting = self._port.call(operation, finish, now_ms)
+
     def _grant(self, now_ms: int) -> None:
         lease, taken = self._lease, self._taken
 
--- a/libs/fleet/burdockrun_fleet/membership.py
+++ b/libs/fleet/burdockrun_fleet/membership.py
@@ -138,6 +138,15 @@
         peer = self.peers.get(name)
         return peer is not None and peer.state in REACHABLE
 
+    def is_dead(self, name: str) -> bool:
+        """Return whether a node was declared dead or has left."""
+        peer = self.peers.get(name)
+        return peer is not None and peer.state not in REACHABLE
+
+    def is_unknown(self, name: str) -> bool:
+        """Return whether nothing was ever heard of a node."""
+        return name not in self.peers and name != self.node.node
+
     def choose(self, count: int, *, without: str = "") -> list[NodeInfo]:
         """Return up to `count` random live peers."""
         alive = self.list_alive()
--- /dev/null
+++ b/tests/fleet/test_roles.py
@@ -0,0 +1,84 @@
+"""Tests of home and standby roles and the connections that they allow."""
+
+import pytest
+from burdockrun_fleet.homes import split_share
+from burdockrun_messages import NodeInfo
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.fleet.chaos import Chaos, list_members
+from tests.fleet.common import start_fleet
+
+# The databases of the tests have 16 connections and 3 members.
+SHARE = 16 // 3
+
+
+@settings(derandomize=True)
+@given(st.integers(min_value=0, max_value=1_000))
+def test_the_parts_of_a_share_add_up(share: int) -> None:
+    """Guards against a home and a standby that together exceed the share."""
+    home, reserve = split_share(share)
+    assert home + reserve == share
+    assert home >= reserve >= 0
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_connections_stay_within_the_share_under_random_faults(seed: int) -> None:
+    """Guards against two holders of one role while nodes die, pause or are cut off."""
+    chaos = Chaos(seed)
+    chaos.run(150_000)
+    assert 0 < chaos.greatest <= SHARE
+
+
+def test_roles_of_a_dead_home_pass_on() -> None:
+    """Guards against a member that nobody may connect to after its home has died."""
+    simulation = start_fleet(seed=3, count=8, domains=("aug", "muc"))
+    node = simulation.nodes["proxy-0000"]
+    served = [(d, m) for d, m in list_members(node) if m.domain == "aug"]
+    database, member = served[0]
+    home = node.agent.find_home(member)
+    assert home is not None
+    simulation.stop(home.node)
+    survivor = next(iter(simulation.nodes.values())).agent
+    simulation.run(25_000)
+    successor = survivor.find_home(member)
+    assert successor is not None
+    assert successor.node != home.node
+    agent = simulation.nodes[successor.node].agent
+    assert agent.is_home(member)
+    assert agent.connection_budget(database, member, simulation.now_ms) == split_share(SHARE)[0]
+
+
+def test_a_node_that_hears_nobody_gives_up_its_connections_within_8_s() -> None:
+    """Guards against a node that is cut off and keeps connections that others may open."""
+    simulation = start_fleet(seed=4, count=8, domains=("aug", "muc"))
+    name = "proxy-0002"
+    node = simulation.nodes[name]
+    simulation.network.blocks = lambda a, b: name in (a.node, b.node)
+    simulation.network.platform_blocks = lambda a: a.node == name
+
+    def budgets() -> int:
+        pairs = list_members(node)
+        return sum(node.agent.connection_budget(d, m, simulation.now_ms) for d, m in pairs)
+
+    assert budgets() > 0
+    simulation.run(8_000)
+    assert budgets() == 0
+
+
+def test_homes_keep_their_connections_while_the_platform_is_down() -> None:
+    """Guards against an outage of the platform that takes the service with it."""
+    simulation = start_fleet(seed=5, count=8, domains=("aug", "muc"))
+    simulation.run(15_000)
+    simulation.network.platform_up = False
+    simulation.run(120_000)
+    nodes: list[NodeInfo] = [node.info for node in simulation.nodes.values()]
+    assert len(nodes) == 8
+    for database, member in list_members(simulation.nodes["proxy-0000"]):
+        if member.domain not in ("aug", "muc"):
+            continue
+        budgets = [
+            node.agent.connection_budget(database, member, simulation.now_ms)
+            for node in simulation.nodes.values()
+        ]
+        assert sum(budgets) == SHARE
