--- a/libs/load/burdockrun_load/sessions.py
+++ b/libs/load/burdockrun_load/sessions.py
@@ -48,6 +48,7 @@
             self._idle.append(self._create())
 
     def start_call(self, rank: str, session: Session | None = None) -> Call:
+        """Return the next request of a session, by default of any that has none in flight."""
         chosen = session or self._take_idle()
         if self._proxies > 1 and self._rng.random() < self._scenario.roam_probability:
             chosen.proxy = self._rng.randrange(self._proxies)
