Add burdockrunctl and the operators' page

Cause: Operators need to check and submit tickets, to read back what is in force, and to see state and audit trail. Change: burdockrunctl checks files, submits tickets through TicketSubmission, lists tickets, domains and the audit trail, and shows the state of a proxy. A submission id given again resolves an unknown outcome. docs/operators/README.md describes start, settings, tickets, state, metrics and what to do when.

--- a/libs/control/burdockrun_control/__init__.py
+++ b/libs/control/burdockrun_control/__init__.py
@@ -1,3 +1,14 @@
-"""Control library of burdockrun."""
+"""Command line of the operators: `burdockrunctl`."""
 
-__all__: list[str] = []
+from burdockrun_control.configuration import ConfigurationReader
+from burdockrun_control.runner import OutboxRunner
+from burdockrun_control.store_reader import StoreReader
+from burdockrun_control.submit import SubmitOptions, Submitter
+
+__all__ = [
+    "ConfigurationReader",
+    "OutboxRunner",
+    "StoreReader",
+    "SubmitOptions",
+    "Submitter",
+]
--- /dev/null
+++ b/libs/control/burdockrun_control/audit.py
@@ -0,0 +1,83 @@
+"""Command `audit`, which shows the audit trail of all failure domains."""
+
+import asyncio
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from burdockrun_messages import KeyEntry
+from result import Err, Ok, Result
+
+from burdockrun_control.const import EXIT_DONE, EXIT_UNREACHABLE, FOLLOW_INTERVAL_MS
+from burdockrun_control.output import Output
+from burdockrun_control.store_reader import StoreReader
+
+
+class AuditReader:
+    """Reads batches that it has not yet returned."""
+
+    def __init__(self, reader: StoreReader) -> None:
+        self._reader = reader
+        self._last_keys: dict[str, str] = {}
+
+    async def async_read(self) -> Result[list[dict[str, Any]], str]:
+        """Return the new records in order of time."""
+        domains = await self._reader.async_list_in_force()
+        if isinstance(domains, Err):
+            return domains
+        records: list[dict[str, Any]] = []
+        for domain in domains.ok_value:
+            entries = await self._reader.async_list_audit(domain, self._last_keys.get(domain, ""))
+            if isinstance(entries, Err):
+                return entries
+            for entry in entries.ok_value:
+                self._last_keys[domain] = entry.key
+                records.extend(read_batch(entry, domain))
+        return Ok(sorted(records, key=_sort_key))
+
+
+def read_batch(entry: KeyEntry, domain: str) -> list[dict[str, Any]]:
+    """Return the records of a batch, each with its failure domain and its fields in one object.
+
+    A batch that cannot be read gives one record that says so.
+    """
+    try:
+        batch = json.loads(entry.value)
+    except ValueError:
+        batch = None
+    if not isinstance(batch, list):
+        return [{"domain": domain, "kind": "unreadable_batch", "key": entry.key}]
+    return [_flatten(record, domain) for record in batch if isinstance(record, dict)]
+
+
+def _flatten(record: dict[str, Any], domain: str) -> dict[str, Any]:
+    fields = record.get("fields")
+    rest = {key: value for key, value in record.items() if key != "fields"}
+    return {"domain": domain, **rest, **(fields if isinstance(fields, dict) else {})}
+
+
+async def async_run_audit(reader: StoreReader, output: Output, *, follow: bool) -> int:
+    """Show the audit trail; with `follow`, further records until the command is interrupted."""
+    audit = AuditReader(reader)
+    shown = False
+    while True:
+        records = await audit.async_read()
+        if isinstance(records, Ok):
+            shown = True
+            _write(records.ok_value, output)
+        elif not shown:
+            output.write_unreachable(records.err_value)
+            return EXIT_UNREACHABLE
+        if not follow:
+            return EXIT_DONE
+        await asyncio.sleep(FOLLOW_INTERVAL_MS / 1_000)
+
+
+def _write(records: Iterable[dict[str, Any]], output: Output) -> None:
+    for record in records:
+        output.write(" ".join(f"{key}={value}" for key, value in record.items()), record)
+
+
+def _sort_key(record: dict[str, Any]) -> float:
+    at_ms = record.get("at_ms", 0)
+    return at_ms if isinstance(at_ms, int | float) else 0
--- a/libs/control/burdockrun_control/const.py
+++ b/libs/control/burdockrun_control/const.py
@@ -18,7 +18,9 @@
 KEY_HEAD: Final = "tickets/head"
 KEY_IN_FORCE: Final = "in_force/"
 KEY_AUDIT: Final = "audit/"
+KEY_SNAPSHOT_HEAD: Final = "snapshots/head"
 TICKET_DIGITS: Final = 10
+SUBMISSION_ID_BITS: Final = 64
 
 DEFAULT_TIMEOUT_MS: Final = 10_000
 CALL_TIMEOUT_MS: Final = 2_000
--- /dev/null
+++ b/libs/control/burdockrun_control/output.py
@@ -0,0 +1,41 @@
+"""Output of the commands, as text or as one JSON object on a line."""
+
+import json
+import sys
+from collections.abc import Mapping
+from typing import TextIO
+
+from burdockrun_base import Findings
+
+from burdockrun_control.const import FORMAT_JSON
+
+
+class Output:
+    """Writes records to the standard output stream, or to another stream."""
+
+    def __init__(self, output_format: str, stream: TextIO | None = None) -> None:
+        self._is_json = output_format == FORMAT_JSON
+        self._stream = stream or sys.stdout
+
+    def write(self, text: str, record: Mapping[str, object]) -> None:
+        """Write one record in the format asked for."""
+        line = json.dumps(record, ensure_ascii=False, default=str) if self._is_json else text
+        self._stream.write(f"{line}\n")
+        self._stream.flush()
+
+    def write_findings(self, findings: Findings, summary: str) -> None:
+        """Write all findings and a summary."""
+        self.write(
+            f"{findings}\n{summary}",
+            {
+                "result": summary,
+                "findings": [
+                    {"place": item.place, "expected": item.expected, "found": item.found}
+                    for item in findings
+                ],
+            },
+        )
+
+    def write_unreachable(self, reason: str) -> None:
+        """Write that the platform gave no usable answer."""
+        self.write(f"platform not reachable: {reason}", {"result": "unreachable", "reason": reason})
--- /dev/null
+++ b/libs/control/burdockrun_control/store_reader.py
@@ -0,0 +1,121 @@
+"""Reading of tickets, domains and audit batches from the platform's store."""
+
+import json
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol
+
+from burdockrun_messages import (
+    GetKey,
+    KeyEntry,
+    KeysReply,
+    ListKeys,
+    PlatformFailure,
+    PlatformOperation,
+    PlatformReply,
+)
+from result import Err, Ok, Result
+
+from burdockrun_control.const import (
+    AUDIT_PAGE_KEYS,
+    CALL_TIMEOUT_MS,
+    KEY_AUDIT,
+    KEY_HEAD,
+    KEY_IN_FORCE,
+    KEY_TICKETS,
+    LIST_PAGE_KEYS,
+    TICKET_DIGITS,
+)
+
+
+class PlatformCaller(Protocol):
+    """Client of the platform."""
+
+    async def async_call(self, operation: PlatformOperation, timeout_ms: int) -> PlatformReply:
+        """Return the reply; any fault gives `PlatformFailure`."""
+        ...
+
+
+def parse_object(text: str) -> dict[str, Any]:
+    """Return the JSON object in a text, or an empty one when there is none."""
+    try:
+        value = json.loads(text)
+    except ValueError:
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+def find_ticket_number(key: str) -> int | None:
+    """Return the number in the key of a ticket.
+
+    >>> find_ticket_number("tickets/0000000012"), find_ticket_number("tickets/head")
+    (12, None)
+    """
+    digits = key.removeprefix(KEY_TICKETS)
+    return int(digits) if len(digits) == TICKET_DIGITS and digits.isdecimal() else None
+
+
+class StoreReader:
+    """Reads what the proxies and the submitters keep in the store."""
+
+    def __init__(self, platform: PlatformCaller) -> None:
+        self._platform = platform
+
+    async def async_list(
+        self, prefix: str, start_after: str = "", limit: int = LIST_PAGE_KEYS
+    ) -> Result[Sequence[KeyEntry], str]:
+        """Return the entries below a prefix, page by page."""
+        entries: list[KeyEntry] = []
+        while True:
+            reply = await self._platform.async_call(
+                ListKeys(prefix=prefix, start_after=start_after, limit=limit),
+                CALL_TIMEOUT_MS,
+            )
+            if isinstance(reply, PlatformFailure):
+                return Err(reply.reason)
+            if not isinstance(reply, KeysReply):
+                return Err(f"unexpected reply {type(reply).__name__}")
+            entries.extend(reply.entries)
+            if len(reply.entries) < limit:
+                return Ok(entries)
+            start_after = reply.entries[-1].key
+
+    async def async_list_last_tickets(self, count: int) -> Result[dict[int, dict[str, Any]], str]:
+        """Return at least the last `count` accepted tickets that are kept, by number."""
+        head = await self._async_read_head()
+        if isinstance(head, Err):
+            return head
+        # The head is a hint that may lag, never lead; the pages after it hold newer tickets.
+        start_after = f"{KEY_TICKETS}{max(0, head.ok_value - count):0{TICKET_DIGITS}}"
+        entries = await self.async_list(KEY_TICKETS, start_after)
+        return entries.map(lambda found: _by_key(found, find_ticket_number))
+
+    async def async_find_last_number(self) -> Result[int, str]:
+        """Return the number of the last accepted ticket, 0 when there is none."""
+        tickets = await self.async_list_last_tickets(1)
+        return tickets.map(lambda found: max(found, default=0))
+
+    async def _async_read_head(self) -> Result[int, str]:
+        reply = await self._platform.async_call(GetKey(key=KEY_HEAD), CALL_TIMEOUT_MS)
+        if isinstance(reply, PlatformFailure):
+            return Err(reply.reason)
+        if not isinstance(reply, KeyEntry):
+            return Err(f"unexpected reply {type(reply).__name__}")
+        return Ok(int(reply.value) if reply.value.isdecimal() else 0)
+
+    async def async_list_in_force(self) -> Result[dict[str, dict[str, Any]], str]:
+        """Return what is in force in each failure domain."""
+        entries = await self.async_list(KEY_IN_FORCE)
+        return entries.map(lambda found: _by_key(found, lambda key: key[len(KEY_IN_FORCE) :]))
+
+    async def async_list_audit(
+        self, domain: str, start_after: str
+    ) -> Result[Sequence[KeyEntry], str]:
+        """Return the audit batches of a failure domain in order of sequence."""
+        return await self.async_list(f"{KEY_AUDIT}{domain}/", start_after, AUDIT_PAGE_KEYS)
+
+
+def _by_key(
+    entries: Sequence[KeyEntry], find_name: Callable[[str], Any]
+) -> dict[Any, dict[str, Any]]:
+    named = ((find_name(entry.key), entry.value) for entry in entries)
+    return {name: parse_object(value) for name, value in named if name is not None}
--- /dev/null
+++ b/libs/control/burdockrun_control/tickets.py
@@ -0,0 +1,111 @@
+"""Commands `ticket in-force` and `ticket list`."""
+
+import asyncio
+from datetime import UTC, datetime
+from typing import Any
+
+from result import Err, Result
+
+from burdockrun_control.const import (
+    EXIT_DONE,
+    EXIT_REFUSED,
+    EXIT_UNREACHABLE,
+    IN_FORCE_INTERVAL_MS,
+    MAX_WALL_MS,
+)
+from burdockrun_control.output import Output
+from burdockrun_control.store_reader import StoreReader
+
+
+async def async_run_in_force(reader: StoreReader, output: Output, number: int | None) -> int:
+    """Show the ticket in force in each failure domain.
+
+    Gives the status of a refusal unless `number`, or else the last accepted ticket, is in force in
+    every domain.
+    """
+    domains = await reader.async_list_in_force()
+    if isinstance(domains, Err):
+        output.write_unreachable(domains.err_value)
+        return EXIT_UNREACHABLE
+    wanted = number
+    if wanted is None:
+        tickets = await reader.async_find_last_number()
+        if isinstance(tickets, Err):
+            output.write_unreachable(tickets.err_value)
+            return EXIT_UNREACHABLE
+        wanted = tickets.ok_value
+    return _show_in_force(domains.ok_value, wanted, output)
+
+
+def _show_in_force(domains: dict[str, dict[str, Any]], wanted: int, output: Output) -> int:
+    numbers = {domain: get_number(value) for domain, value in domains.items()}
+    everywhere = bool(numbers) and all(number >= wanted for number in numbers.values())
+    lines = [
+        f"{domain}: ticket {number} since {format_time(domains[domain].get('at_ms'))}"
+        for domain, number in numbers.items()
+    ]
+    state = "in force" if everywhere else "not in force"
+    where = "in every domain" if numbers else "because no domain has reported"
+    output.write(
+        "\n".join([*lines, f"ticket {wanted} is {state} {where}"]),
+        {"result": state, "ticket": wanted, "domains": domains},
+    )
+    return EXIT_DONE if everywhere else EXIT_REFUSED
+
+
+async def async_wait_in_force(
+    reader: StoreReader, output: Output, number: int, wait_ms: int
+) -> int:
+    """Wait until a ticket is in force in every domain, then show the domains."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + wait_ms / 1_000
+    while loop.time() < until_s:
+        if _is_everywhere(await reader.async_list_in_force(), number):
+            break
+        await asyncio.sleep(IN_FORCE_INTERVAL_MS / 1_000)
+    return await async_run_in_force(reader, output, number)
+
+
+def _is_everywhere(domains: Result[dict[str, dict[str, Any]], str], number: int) -> bool:
+    if isinstance(domains, Err) or not domains.ok_value:
+        return False
+    return all(get_number(value) >= number for value in domains.ok_value.values())
+
+
+async def async_run_list(reader: StoreReader, output: Output, last: int) -> int:
+    """List the last accepted tickets, the newest first."""
+    tickets = await reader.async_list_last_tickets(last)
+    if isinstance(tickets, Err):
+        output.write_unreachable(tickets.err_value)
+        return EXIT_UNREACHABLE
+    for number in sorted(tickets.ok_value, reverse=True)[:last]:
+        ticket = tickets.ok_value[number]
+        services = ticket.get("services")
+        names = list(services) if isinstance(services, dict) else []
+        output.write(
+            f"{number}: {ticket.get('author')}: {ticket.get('reason')} ({', '.join(names)})",
+            {
+                "number": number,
+                "author": ticket.get("author"),
+                "reason": ticket.get("reason"),
+                "services": names,
+            },
+        )
+    return EXIT_DONE
+
+
+def get_number(value: dict[str, Any]) -> int:
+    """Return the ticket number in the value of an `in_force` key, or 0."""
+    number = value.get("number")
+    return number if isinstance(number, int) else 0
+
+
+def format_time(wall_ms: object) -> str:
+    """Return a time since the Unix epoch in ms as a date in UTC.
+
+    >>> format_time(1_000)
+    '1970-01-01T00:00:01Z'
+    """
+    if not isinstance(wall_ms, int) or not 0 <= wall_ms <= MAX_WALL_MS:
+        return "an unknown time"
+    return datetime.fromtimestamp(wall_ms // 1_000, UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
--- /dev/null
+++ b/tests/control/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the operators' command line."""
