Keep the keys of databases apart in the load program

Change: Keys name the database. The log starts with its first event. Plots have their legend beside the axes.

--- a/libs/control/burdockrun_control/program.py
+++ b/libs/control/burdockrun_control/program.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 
 import aiohttp
-from absl import logging
+from absl import flags, logging
 from burdockrun_base import EventLog
 from burdockrun_platform import PlatformClient
 
@@ -55,6 +55,8 @@
     for stream in (sys.stdout, sys.stderr):
         with contextlib.suppress(AttributeError):
             stream.reconfigure(errors="backslashreplace")  # type: ignore[union-attr]
+    # Without this absl writes a warning of its own before the first line.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.get_absl_handler().setFormatter(standard_logging.Formatter("%(message)s"))
--- a/libs/load/burdockrun_load/plots.py
+++ b/libs/load/burdockrun_load/plots.py
@@ -37,7 +37,7 @@
             _mark_floods(axes, scenario)
             axes.set_xlabel("time of sending (s)")
         if axes.get_legend_handles_labels()[0]:
-            axes.legend(loc="upper right")
+            axes.legend(loc="center left", bbox_to_anchor=(1.0, 0.5))
         axes.grid(alpha=0.3)
         figure.savefig(directory / name)
     return list(plots)
@@ -113,5 +113,5 @@
         end_ms = start_ms + phase.duration_ms
         if phase.flood:
             axes.axvspan(start_ms / 1_000, end_ms / 1_000, alpha=0.12, color="tab:red")
-            axes.text(start_ms / 1_000, 1.0, phase.name, transform=axes.get_xaxis_transform())
+            axes.text(start_ms / 1_000, 0.02, phase.name, transform=axes.get_xaxis_transform())
         start_ms = end_ms
--- a/libs/load/burdockrun_load/program.py
+++ b/libs/load/burdockrun_load/program.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 import aiohttp
-from absl import logging
+from absl import flags, logging
 from burdockrun_base import EventLog
 from result import Err
 
@@ -39,6 +39,8 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Run one load and return the exit status."""
     arguments = build_parser().parse_args(argv)
+    # Without this absl writes a warning of its own before the first line.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.get_absl_handler().setFormatter(standard_logging.Formatter("%(message)s"))
--- a/libs/load/burdockrun_load/sessions.py
+++ b/libs/load/burdockrun_load/sessions.py
@@ -119,11 +119,12 @@
         rng = self._rng
         database = rng.choice(self._scenario.databases)
         session.sent += 1
-        key = f"{self._run_id}/{session.number}/{session.key_numbers[database]}"
+        # Keys name the database, as one member stands for all of them when it is driven directly.
+        place = f"{self._run_id}/{database}/{session.number}"
         is_read = rng.random() < profile.read_share
         accepts_age = is_read and rng.random() < profile.stale_share
         adds = not is_read and rng.random() < profile.non_idempotent_share
-        statement, parameters = self._choose_statement(session, database, key, is_read, adds)
+        statement, parameters = self._choose_statement(session, database, place, is_read, adds)
         request = StatementRequest(
             request_id=f"{self._run_id}-{session.number}-{session.sent}",
             account=self._scenario.account,
@@ -145,11 +146,12 @@
         )
 
     def _choose_statement(
-        self, session: Session, database: str, key: str, is_read: bool, adds: bool
+        self, session: Session, database: str, place: str, is_read: bool, adds: bool
     ) -> tuple[str, tuple[JsonValue, ...]]:
+        key = f"{place}/{session.key_numbers[database]}"
         if is_read:
             return "GET ?", (key,)
         if adds:
             session.adds[database] += 1
-            return "ADD ? ?", (f"{self._run_id}/{session.number}/sum", 1)
+            return "ADD ? ?", (f"{place}/sum", 1)
         return "PUT ? ?", (key, session.sent)
--- a/tests/load/common.py
+++ b/tests/load/common.py
@@ -75,7 +75,9 @@
 
     async def async_status(self, _: web.Request) -> web.Response:
         """Name `a` as the primary."""
-        return web.json_response({"groups": {"turns": {"primary": "a"}}})
+        return web.json_response(
+            {"groups": {"turns": {"primary": "a"}, "visits": {"primary": "a"}}}
+        )
 
 
 @asynccontextmanager
@@ -94,7 +96,7 @@
     profile = {"read_share": 0.5, "non_idempotent_share": 0.5}
     document = {
         "account": "lmb",
-        "databases": ["turns"],
+        "databases": ["turns", "visits"],
         "sessions": 5,
         "roam_probability": 0.5,
         "ranks": {"urgent": profile, "routes": profile},
