Require a report from every domain and IPv4 addresses

Cause: A failure domain that never reported did not count against "in force"; proxies put addresses into URLs without brackets, so an IPv6 address or 0.0.0.0 in a ticket could never be reached; a line break in an author garbled lists. Change: ticket in-force counts domains that have a roster; addresses are those of one IPv4 host; author and reason are one line of printable text.

--- a/libs/control/burdockrun_control/const.py
+++ b/libs/control/burdockrun_control/const.py
@@ -18,6 +18,7 @@
 KEY_HEAD: Final = "tickets/head"
 KEY_IN_FORCE: Final = "in_force/"
 KEY_AUDIT: Final = "audit/"
+KEY_ROSTERS: Final = "rosters/"
 KEY_SNAPSHOT_HEAD: Final = "snapshots/head"
 TICKET_DIGITS: Final = 10
 SUBMISSION_ID_BITS: Final = 64
--- a/libs/control/burdockrun_control/store_reader.py
+++ b/libs/control/burdockrun_control/store_reader.py
@@ -21,6 +21,7 @@
     KEY_AUDIT,
     KEY_HEAD,
     KEY_IN_FORCE,
+    KEY_ROSTERS,
     KEY_TICKETS,
     LIST_PAGE_KEYS,
     TICKET_DIGITS,
@@ -103,9 +104,29 @@
         return Ok(int(reply.value) if reply.value.isdecimal() else 0)
 
     async def async_list_in_force(self) -> Result[dict[str, dict[str, Any]], str]:
-        """Return what is in force in each failure domain."""
-        entries = await self.async_list(KEY_IN_FORCE)
-        return entries.map(lambda found: _by_key(found, lambda key: key[len(KEY_IN_FORCE) :]))
+        """Return what is in force in each failure domain.
+
+        A domain that has nodes but has not reported has an empty value; one without nodes is left
+        out.
+        """
+        rosters = await self._async_list_values(KEY_ROSTERS)
+        if isinstance(rosters, Err):
+            return rosters
+        reports = await self._async_list_values(KEY_IN_FORCE)
+        if isinstance(reports, Err):
+            return reports
+        domains: dict[str, dict[str, Any]] = {
+            domain: {} for domain, roster in rosters.ok_value.items() if roster.get("nodes")
+        }
+        closed = rosters.ok_value.keys() - domains.keys()
+        reported = {
+            domain: value for domain, value in reports.ok_value.items() if domain not in closed
+        }
+        return Ok(dict(sorted({**domains, **reported}.items())))
+
+    async def _async_list_values(self, prefix: str) -> Result[dict[str, dict[str, Any]], str]:
+        entries = await self.async_list(prefix)
+        return entries.map(lambda found: _by_key(found, lambda key: key[len(prefix) :]))
 
     async def async_list_audit(
         self, domain: str, start_after: str
--- a/libs/control/burdockrun_control/tickets.py
+++ b/libs/control/burdockrun_control/tickets.py
@@ -40,10 +40,7 @@
 def _show_in_force(domains: dict[str, dict[str, Any]], wanted: int, output: Output) -> int:
     numbers = {domain: get_number(value) for domain, value in domains.items()}
     everywhere = bool(numbers) and all(number >= wanted for number in numbers.values())
-    lines = [
-        f"{domain}: ticket {number} since {format_time(domains[domain].get('at_ms'))}"
-        for domain, number in numbers.items()
-    ]
+    lines = [_describe_domain(domain, value) for domain, value in domains.items()]
     state = "in force" if everywhere else "not in force"
     where = "in every domain" if numbers else "because no domain has reported"
     output.write(
@@ -53,6 +50,12 @@
     return EXIT_DONE if everywhere else EXIT_REFUSED
 
 
+def _describe_domain(domain: str, value: dict[str, Any]) -> str:
+    if not value:
+        return f"{domain}: has not reported"
+    return f"{domain}: ticket {get_number(value)} since {format_time(value.get('at_ms'))}"
+
+
 async def async_wait_in_force(
     reader: StoreReader, output: Output, number: int, wait_ms: int
 ) -> int:
--- a/libs/settings/burdockrun_settings/schema.py
+++ b/libs/settings/burdockrun_settings/schema.py
@@ -12,6 +12,7 @@
     CONF_SESSION_KEYS,
     MAX_FOUND_LENGTH,
     MAX_PORT,
+    MAX_TEXT_LENGTH,
     NAME_DESCRIPTION,
     NAME_PATTERN,
 )
@@ -21,14 +22,23 @@
 
 def _check_ip_address(text: str) -> str:
     try:
-        ipaddress.ip_address(text)
+        address = ipaddress.IPv4Address(text)
     except ValueError:
-        raise PydanticCustomError("ip_address", "a numeric IP address") from None
+        raise PydanticCustomError("ip_address", "a numeric IPv4 address") from None
+    if address.is_unspecified or address.is_multicast:
+        raise PydanticCustomError("ip_address", "the numeric IPv4 address of one host")
+    return text
+
+
+def _check_line(text: str) -> str:
+    if not text.strip() or not text.isprintable():
+        raise PydanticCustomError("line", "a line of printable text that is not blank")
     return text
 
 
 Text = Annotated[str, Field(strict=True)]
 Name = Annotated[Text, Field(pattern=NAME_PATTERN)]
+Line = Annotated[Text, Field(max_length=MAX_TEXT_LENGTH), AfterValidator(_check_line)]
 IpAddress = Annotated[Text, AfterValidator(_check_ip_address)]
 Port = Annotated[int, Field(strict=True, ge=1, le=MAX_PORT)]
 Number = Annotated[float, Field(strict=True, allow_inf_nan=False)]
--- a/libs/settings/burdockrun_settings/ticket_file.py
+++ b/libs/settings/burdockrun_settings/ticket_file.py
@@ -12,12 +12,9 @@
     MAX_SLOTS,
     MAX_STALENESS_MS,
     MAX_TARGET_MS,
-    MAX_TEXT_LENGTH,
 )
 from burdockrun_settings.models import Ticket
-from burdockrun_settings.schema import FileModel, IpAddress, Name, Number, Port, Text
-
-Line = Annotated[Text, Field(min_length=1, max_length=MAX_TEXT_LENGTH)]
+from burdockrun_settings.schema import FileModel, IpAddress, Line, Name, Number, Port
 
 
 class RankEntry(FileModel):
--- a/tests/control/test_tickets.py
+++ b/tests/control/test_tickets.py
@@ -126,7 +126,12 @@
         file = write_ticket(tmp_path, make_ticket())
         submit = ["ticket", "submit", file, "--platform", address, "--wait-in-force-ms", "300"]
         assert await async_ctl(*submit) == 1
+        platform.put("rosters/aug", {"domain": "aug", "epoch": 3, "nodes": []})
+        platform.put("rosters/rgb", {"domain": "rgb", "epoch": 3, "nodes": [{"node": "p"}]})
+        platform.put("in_force/aug", {"number": 0, "at_ms": 1_000, "nodes": 0})
         platform.put("in_force/nbg", {"number": 1, "at_ms": 1_000, "nodes": 2})
+        assert await async_ctl(*common) == 1
+        assert "rgb: has not reported" in capsys.readouterr().out
         platform.put("in_force/rgb", {"number": 0, "at_ms": 1_000, "nodes": 2})
         assert await async_ctl(*common) == 1
         assert "nbg: ticket 1 since 1970-01-01T00:00:01Z" in capsys.readouterr().out
--- a/tests/settings/test_tickets.py
+++ b/tests/settings/test_tickets.py
@@ -43,9 +43,9 @@
     "ranks: expected a different order": lambda s: s["ranks"][1].update(order=0),
     "ranks: expected a different name": lambda s: s["ranks"][0].update(name="routine"),
     "connections: expected at least 6": lambda s: s["databases"]["turns"].update(connections=5),
-    "host: expected a numeric IP address": lambda s: s["databases"]["turns"]["members"]["c"].update(
-        host="localhost"
-    ),
+    "host: expected a numeric IPv4 address": lambda s: s["databases"]["turns"]["members"][
+        "c"
+    ].update(host="localhost"),
     "b.port: expected an address that is used once": lambda s: s["databases"]["turns"]["members"][
         "b"
     ].update(port=7000),
@@ -80,6 +80,22 @@
     assert [fault for fault in FAULTS if fault not in text] == []
 
 
+@pytest.mark.parametrize("host", ["::1", "0.0.0.0", "224.0.0.1", "127.1", "nbg.example", ""])
+def test_host_must_be_one_ipv4_address(host: str) -> None:
+    """Guards against addresses that proxies cannot put into a URL or cannot reach."""
+    service = make_service()
+    service["databases"]["turns"]["members"]["a"]["host"] = host
+    findings = check_ticket(json.dumps(make_ticket(s=service)), "t.json").unwrap_err()
+    assert [item.place.rpartition(".")[2] for item in findings] == ["host"]
+
+
+@pytest.mark.parametrize("author", ["", "  ", "two\nlines", "\u0007"])
+def test_author_is_one_line(author: str) -> None:
+    """Guards against lists and logs that a ticket can garble."""
+    findings = check_ticket(json.dumps(make_ticket() | {"author": author}), "t.json").unwrap_err()
+    assert [item.place for item in findings] == ["t.json: author"]
+
+
 def test_malformed_json_names_the_line() -> None:
     """Guards against a syntax fault that the author cannot locate."""
     findings = check_ticket('{\n"author": "a",\n"reason": }', "t.json").unwrap_err()
