Read files with comments by the fast JSON parser

Cause: json5 needs about 20 to 30 µs a character, and every commented file went through it. Change: Comments are blanked first and the standard parser tried; json5 reads the rest and locates faults.

--- a/libs/settings/burdockrun_settings/documents.py
+++ b/libs/settings/burdockrun_settings/documents.py
@@ -13,6 +13,7 @@
 from burdockrun_settings.const import MAX_FILE_BYTES
 
 _JSON5_FAULT = re.compile(r"^<string>:(\d+) (.*)$", re.DOTALL)
+_STRING_OR_COMMENT = re.compile(r'"(?:\\.|[^"\\])*"|//[^\n]*|/\*.*?\*/', re.DOTALL)
 
 
 class _DuplicateKeyError(ValueError):
@@ -37,7 +38,8 @@
 def parse_document(text: str, place: str) -> Result[dict[str, Any], Findings]:
     """Return the object in a JSON document with comments.
 
-    Plain JSON takes the fast parser of the standard library: json5 needs about 30 µs a character.
+    JSON that is plain but for its comments takes the fast parser of the standard library: json5
+    needs about 30 µs a character.
     """
     if len(text) > MAX_FILE_BYTES:
         return _fault(
@@ -61,11 +63,16 @@
 
 def _parse(text: str) -> Any:
     try:
-        return json.loads(text, object_pairs_hook=_collect, parse_constant=_refuse_constant)
+        plain = _STRING_OR_COMMENT.sub(_blank_comment, text)
+        return json.loads(plain, object_pairs_hook=_collect, parse_constant=_refuse_constant)
     except json.JSONDecodeError:
         return json5.loads(text, object_pairs_hook=_collect, parse_constant=_refuse_constant)
 
 
+def _blank_comment(match: re.Match[str]) -> str:
+    return match[0] if match[0].startswith('"') else " "
+
+
 def _collect(pairs: Iterable[tuple[str, Any]]) -> dict[str, Any]:
     collected: dict[str, Any] = {}
     for key, value in pairs:
--- a/tests/settings/test_tickets.py
+++ b/tests/settings/test_tickets.py
@@ -108,6 +108,13 @@
     assert "'a' twice" in str(findings)
 
 
+def test_text_that_looks_like_a_comment_is_kept() -> None:
+    """Guards against values that are cut at // or /*."""
+    reason = 'see https://wiki/"/*x*/'
+    text = "/* a\n // b */" + json.dumps(make_ticket() | {"reason": reason}, indent=1) + "// end"
+    assert check_ticket(text, "t.json").unwrap().reason == reason
+
+
 @settings(derandomize=True, max_examples=60, deadline=None)
 @given(st.text(max_size=40) | st.recursive(st.none() | st.floats(), st.lists).map(json.dumps))
 def test_any_text_gives_findings(text: str) -> None:
