Test that the audit reader returns each record once

Cause: Nothing held a followed audit trail to new records. Change: A test reads twice and after a further batch.

--- a/tests/control/test_program.py
+++ b/tests/control/test_program.py
@@ -5,10 +5,14 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+import aiohttp
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
+from burdockrun_control.audit import AuditReader
 from burdockrun_control.program import main
+from burdockrun_control.store_reader import StoreReader
+from burdockrun_platform import PlatformClient
 
 from tests.control.common import FakePlatform, async_ctl, run_platform, write_ticket
 from tests.settings.common import make_settings, make_ticket
@@ -85,6 +89,19 @@
     assert records[1]["term"] == 3
 
 
+async def test_audit_reader_returns_each_record_once() -> None:
+    """Guards against a followed audit trail that repeats itself or reads everything again."""
+    platform = FakePlatform()
+    platform.put("in_force/nbg", {"number": 1})
+    platform.put("audit/nbg/0000000001", [{"kind": "drain", "node": "p1", "at_ms": 1}])
+    async with run_platform(platform) as address, aiohttp.ClientSession() as session:
+        reader = AuditReader(StoreReader(PlatformClient(f"http://{address}", session)))
+        assert [record["kind"] for record in (await reader.async_read()).unwrap()] == ["drain"]
+        assert (await reader.async_read()).unwrap() == []
+        platform.put("audit/nbg/0000000002", [{"kind": "lease", "node": "p1", "at_ms": 2}])
+        assert [record["kind"] for record in (await reader.async_read()).unwrap()] == ["lease"]
+
+
 @pytest.mark.parametrize(("http_status", "exit_status"), [(200, 0), (503, 1)])
 async def test_status_shows_a_proxy(
     http_status: int, exit_status: int, capsys: pytest.CaptureFixture[str]
