Add the stand-in programs of the platform and the endpoint

Cause: other programs need something to talk to over the published protocol. Change: burdockrun-platform and burdockrun-endpoint with fault switches.

--- a/libs/endpoint/burdockrun_endpoint/__init__.py
+++ b/libs/endpoint/burdockrun_endpoint/__init__.py
@@ -1,6 +1,7 @@
 """Model of a database member and the stand-in programs of the endpoint and the platform."""
 
-from burdockrun_endpoint.const import PULL_WAIT_MS
+from burdockrun_endpoint.const import GROUP_PATH, OPERATIONS, PULL_WAIT_MS, SESSION_PATH
+from burdockrun_endpoint.faults import Faults
 from burdockrun_endpoint.log import EntryLog
 from burdockrun_endpoint.member import DatabaseMember
 from burdockrun_endpoint.models import (
@@ -13,12 +14,16 @@
 )
 
 __all__ = [
+    "GROUP_PATH",
+    "OPERATIONS",
     "PULL_WAIT_MS",
+    "SESSION_PATH",
     "Change",
     "Completed",
     "DatabaseMember",
     "EntryBatch",
     "EntryLog",
+    "Faults",
     "LogEntry",
     "PullEntries",
     "TermEnd",
--- /dev/null
+++ b/libs/endpoint/burdockrun_endpoint/command_line.py
@@ -0,0 +1,53 @@
+"""Command line and logging that the stand-in programs share."""
+
+import argparse
+import logging as standard_logging
+from importlib import metadata
+
+from absl import flags, logging
+from burdockrun_base import FORMAT_JSON, FORMAT_TEXT, EventLog
+
+from burdockrun_endpoint.const import EXIT_CANNOT_LISTEN, EXIT_STOPPED, EXIT_USAGE
+
+_EXIT_STATUSES = f"""exit status:
+  {EXIT_STOPPED}  stopped by SIGTERM or SIGINT
+  {EXIT_CANNOT_LISTEN}  the address cannot be listened on
+  {EXIT_USAGE}  bad arguments or files"""
+
+
+def make_parser(program: str, description: str) -> argparse.ArgumentParser:
+    """Return a parser with the options that every program has."""
+    parser = argparse.ArgumentParser(
+        prog=program,
+        description=description,
+        epilog=_EXIT_STATUSES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    version = f"{program} {metadata.version('burdockrun-endpoint')}"
+    parser.add_argument("--version", action="version", version=version)
+    parser.add_argument("--log-format", choices=(FORMAT_JSON, FORMAT_TEXT), default=FORMAT_TEXT)
+    parser.add_argument("--host", default="127.0.0.1", help="address to listen on")
+    parser.add_argument("--port", type=parse_count, required=True, help="port; 0 takes a free one")
+    return parser
+
+
+def parse_count(text: str) -> int:
+    """Return a number of at least 0.
+
+    Raises ValueError, which argparse reports with the option's name.
+    """
+    number = int(text)
+    if number < 0:
+        raise ValueError(f"expected a number of at least 0, found {text}")
+    return number
+
+
+def start_logging(log_format: str) -> EventLog:
+    """Send log events to standard error, in JSON as one object per line."""
+    flags.FLAGS.mark_as_parsed()  # else absl writes a warning before the first event
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    if log_format == FORMAT_JSON:
+        handler = logging.get_absl_handler()
+        handler.setFormatter(standard_logging.Formatter("%(message)s"))
+    return EventLog(log_format)
--- a/libs/endpoint/burdockrun_endpoint/const.py
+++ b/libs/endpoint/burdockrun_endpoint/const.py
@@ -3,6 +3,15 @@
 from typing import Final
 
 from burdockrun_base import Level, define_event
+from burdockrun_messages import (
+    AskStatus,
+    AwaitConfirmed,
+    ControlOperation,
+    Fence,
+    Follow,
+    Promote,
+    Settle,
+)
 
 SESSION_PATH: Final = "/v1/session"
 GROUP_PATH: Final = "/v1/group"
@@ -19,7 +28,21 @@
 PULL_RETRY_MS: Final = 20
 MAX_BATCH_ENTRIES: Final = 500
 
-STATEMENT_COMMIT: Final = "COMMIT"
+EXPIRY_INTERVAL_MS: Final = 50
+
+EXIT_STOPPED: Final = 0
+EXIT_CANNOT_LISTEN: Final = 1
+EXIT_USAGE: Final = 2
+
+OPERATION_LEAVE: Final = "leave"
+OPERATIONS: Final[dict[str, type[ControlOperation]]] = {
+    "status": AskStatus,
+    "fence": Fence,
+    "promote": Promote,
+    "follow": Follow,
+    "await_confirmed": AwaitConfirmed,
+    "settle": Settle,
+}
 
 EVENT_LISTENING: Final = define_event(
     801, "endpoint_listening", Level.INFO, "A stand-in accepts connections."
--- /dev/null
+++ b/libs/endpoint/burdockrun_endpoint/faults.py
@@ -0,0 +1,107 @@
+"""Faults that tests switch on in the stand-ins."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Annotated
+
+from aiohttp import web
+from burdockrun_base import EventLog
+from burdockrun_messages import decode_message
+from pydantic import Field
+from result import Err
+
+from burdockrun_endpoint.const import EVENT_FAULTS_SET, FAULTS_PATH
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+Count = Annotated[int, Field(ge=0)]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Faults:
+    """Body of `POST /v1/faults`; each call replaces all faults.
+
+    `delay_ms` comes before each operation, `lose_answers` counts the next answers that are lost
+    after their effect, `paused` holds everything, `refused` breaks every connection (partition),
+    `lag_ms` delays replication, `stuck` finishes no statement, `stale_list_ms` is the age of the
+    VM list, `leaving` names VMs that the list marks as leaving.
+    """
+
+    delay_ms: Count = 0
+    lose_answers: Count = 0
+    paused: bool = False
+    refused: bool = False
+    lag_ms: Count = 0
+    stuck: bool = False
+    stale_list_ms: Count = 0
+    leaving: tuple[str, ...] = ()
+
+
+class FaultSwitch:
+    """Faults in force, applied to every route but its own."""
+
+    def __init__(self, events: EventLog, on_change: Callable[[Faults], None]) -> None:
+        self.faults = Faults()
+        self._events = events
+        self._on_change = on_change
+        self._losses = 0
+        self._resumed = asyncio.Event()
+        self._resumed.set()
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add `POST /v1/faults` to an application."""
+        app.router.add_post(FAULTS_PATH, self._async_set)
+
+    @web.middleware
+    async def async_middleware(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        """Apply the faults to one request; a lost answer breaks the connection."""
+        if request.path == FAULTS_PATH:
+            return await handler(request)
+        await self.async_enter(request)
+        response = await handler(request)
+        if isinstance(response, web.Response) and self.take_loss():
+            break_connection(request)
+        return response
+
+    async def async_enter(self, request: web.Request) -> None:
+        """Apply the faults that come before an operation."""
+        await self._resumed.wait()
+        if self.faults.refused:
+            break_connection(request)
+        if self.faults.delay_ms:
+            await asyncio.sleep(self.faults.delay_ms / 1_000)
+
+    async def async_leave(self) -> None:
+        """Hold an answer back while the stand-in is paused."""
+        await self._resumed.wait()
+
+    def take_loss(self) -> bool:
+        """Return whether the answer at hand is to be lost."""
+        if self._losses == 0:
+            return False
+        self._losses -= 1
+        return True
+
+    async def _async_set(self, request: web.Request) -> web.Response:
+        decoded = decode_message(Faults, await request.read())
+        if isinstance(decoded, Err):
+            return web.Response(status=400, text=decoded.err_value)
+        self.faults = decoded.ok_value
+        self._losses = self.faults.lose_answers
+        if self.faults.paused:
+            self._resumed.clear()
+        else:
+            self._resumed.set()
+        self._events.write(EVENT_FAULTS_SET, faults=self.faults)
+        self._on_change(self.faults)
+        return web.Response(text="ok")
+
+
+def break_connection(request: web.Request) -> None:
+    """Break the connection of a request without an answer.
+
+    Raises ConnectionResetError, which ends the handler.
+    """
+    if request.transport is not None:
+        request.transport.abort()
+    raise ConnectionResetError("broken by a fault")
--- /dev/null
+++ b/libs/endpoint/burdockrun_endpoint/member_server.py
@@ -0,0 +1,205 @@
+"""HTTP stand-in of one database member."""
+
+import asyncio
+
+from aiohttp import WSMsgType, web
+from burdockrun_base import Clock, EventLog
+from burdockrun_messages import (
+    AwaitConfirmed,
+    ControlOperation,
+    ControlReply,
+    Execute,
+    decode_message,
+    encode_message,
+)
+from result import Err
+
+from burdockrun_endpoint.const import (
+    ENTRIES_PATH,
+    GROUP_PATH,
+    OPERATION_LEAVE,
+    OPERATIONS,
+    PULL_WAIT_MS,
+    SESSION_PATH,
+)
+from burdockrun_endpoint.faults import Faults, FaultSwitch
+from burdockrun_endpoint.member import DatabaseMember
+from burdockrun_endpoint.models import PullEntries
+
+
+class MemberServer:
+    """Data port and control port of a member; `open_ms` is the time to open a connection."""
+
+    def __init__(
+        self, member: DatabaseMember, clock: Clock, events: EventLog, *, open_ms: int
+    ) -> None:
+        self.member = member
+        self.changed = asyncio.Event()
+        self._clock = clock
+        self._open_ms = open_ms
+        self._switch = FaultSwitch(events, self._set_faults)
+        self._sockets: dict[int, web.WebSocketResponse] = {}
+        self._next_connection = 1
+        self._timer: asyncio.TimerHandle | None = None
+        self._sends: set[asyncio.Task[None]] = set()
+
+    def make_data_app(self) -> web.Application:
+        """Return the application of the data port."""
+        app = web.Application(middlewares=[self._switch.async_middleware])
+        app.router.add_get(SESSION_PATH, self._async_session)
+        app.on_shutdown.append(self._async_close_sockets)
+        return app
+
+    def make_control_app(self) -> web.Application:
+        """Return the application of the control port."""
+        app = web.Application(middlewares=[self._switch.async_middleware])
+        app.router.add_post(GROUP_PATH + "/{operation}", self._async_control)
+        app.router.add_post(ENTRIES_PATH, self._async_entries)
+        self._switch.add_routes(app)
+        return app
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether a fault keeps the member from its peers."""
+        return self._switch.faults.refused or self._switch.faults.paused
+
+    def advance(self) -> None:
+        """Send the answers that are due and set the timer for the next ones."""
+        now_ms = self._clock.now_ms()
+        for item in self.member.advance(now_ms):
+            self._send(item.connection_id, encode_message(item.answer))
+        self.notify()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        next_ms = self.member.next_ms(now_ms)
+        if next_ms is not None:
+            delay = max(0, next_ms - now_ms) / 1_000
+            self._timer = asyncio.get_running_loop().call_later(delay, self.advance)
+
+    def notify(self) -> None:
+        """Wake everything that waits for a change of the member."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def async_wait_changed(self, end_ms: int) -> None:
+        """Wait for a change of the member, at most until a time in ms."""
+        left_ms = end_ms - self._clock.now_ms()
+        try:
+            async with asyncio.timeout(max(0, left_ms) / 1_000):
+                await self.changed.wait()
+        except TimeoutError:
+            return
+
+    async def _async_session(self, request: web.Request) -> web.StreamResponse:
+        connection_id = self._next_connection
+        self._next_connection += 1
+        if not self.member.open(connection_id):
+            return web.Response(status=503, text="connection limit reached")
+        socket = web.WebSocketResponse(heartbeat=None)
+        try:
+            await asyncio.sleep(self._open_ms / 1_000)
+            await socket.prepare(request)
+            self._sockets[connection_id] = socket
+            async for frame in socket:
+                if frame.type is not WSMsgType.TEXT:
+                    break
+                await self._switch.async_enter(request)
+                decoded = decode_message(Execute, frame.data)
+                if isinstance(decoded, Err):
+                    await socket.close(code=1008, message=decoded.err_value[:100].encode())
+                    break
+                self.member.execute(connection_id, decoded.ok_value, self._clock.now_ms())
+                self.advance()
+        finally:
+            self._sockets.pop(connection_id, None)
+            self.member.close(connection_id)
+            self.advance()
+        return socket
+
+    def _send(self, connection_id: int, data: bytes) -> None:
+        socket = self._sockets.get(connection_id)
+        if socket is None:
+            return
+        task = asyncio.create_task(self._async_send(socket, data))
+        self._sends.add(task)
+        task.add_done_callback(self._sends.discard)
+
+    async def _async_send(self, socket: web.WebSocketResponse, data: bytes) -> None:
+        await self._switch.async_leave()
+        if self._switch.take_loss():
+            await socket.close(code=1011)
+            return
+        try:
+            await socket.send_str(data.decode())
+        except (ConnectionError, RuntimeError):
+            return
+
+    async def _async_control(self, request: web.Request) -> web.Response:
+        name = request.match_info["operation"]
+        if name == OPERATION_LEAVE:
+            self.member.leaving = True
+            return _reply(self.member.status(self._clock.now_ms()))
+        kind = OPERATIONS.get(name)
+        if kind is None:
+            return web.Response(status=404, text=f"unknown operation {name}")
+        body = await request.read()
+        decoded = decode_message(kind, body or b"{}")
+        if isinstance(decoded, Err):
+            return web.Response(status=400, text=decoded.err_value)
+        operation: ControlOperation = decoded.ok_value
+        if isinstance(operation, AwaitConfirmed):
+            await self._async_await(operation)
+        reply = self.member.control(operation, self._clock.now_ms())
+        self.advance()
+        return _reply(reply)
+
+    async def _async_await(self, operation: AwaitConfirmed) -> None:
+        end_ms = self._clock.now_ms() + operation.wait_ms
+        while not self.member.is_wait_over(operation) and self._clock.now_ms() < end_ms:
+            await self.async_wait_changed(end_ms)
+
+    async def _async_entries(self, request: web.Request) -> web.Response:
+        decoded = decode_message(PullEntries, await request.read())
+        if isinstance(decoded, Err):
+            return web.Response(status=400, text=decoded.err_value)
+        pull = decoded.ok_value
+        start_ms = self._clock.now_ms()
+        end_ms = start_ms + PULL_WAIT_MS
+        confirmed = self.member.confirmed_index
+        while True:
+            now_ms = self._clock.now_ms()
+            batch = self.member.take_entries(pull, now_ms, now_ms - start_ms)
+            if batch is None:
+                return web.Response(status=409, text="not the primary of this term")
+            if batch.entries or now_ms >= end_ms or self.is_cut_off:
+                break
+            if self.member.confirmed_index != confirmed:
+                confirmed = self.member.confirmed_index
+                self.notify()
+            await self.async_wait_changed(end_ms)
+        if self.member.confirmed_index != confirmed:
+            self.notify()
+        return web.Response(body=encode_message(batch), content_type="application/json")
+
+    async def _async_close_sockets(self, _: web.Application) -> None:
+        for socket in list(self._sockets.values()):
+            await socket.close(code=1001)
+
+    def _set_faults(self, faults: Faults) -> None:
+        self.member.lag_ms = faults.lag_ms
+        self.member.queue.stuck = faults.stuck
+        if faults.refused:
+            for socket in list(self._sockets.values()):
+                task = asyncio.create_task(_async_drop(socket))
+                self._sends.add(task)
+                task.add_done_callback(self._sends.discard)
+        self.advance()
+
+
+async def _async_drop(socket: web.WebSocketResponse) -> None:
+    await socket.close(code=1011)
+
+
+def _reply(reply: ControlReply) -> web.Response:
+    return web.Response(body=encode_message(reply), content_type="application/json")
