Prove that the primary is current for reads without a position, and test the processes

Cause: a read without session token went to the primary that the proxy knew, which a cut-off primary could answer with an old row; the timer walked over every member of the configuration, 2,730 at the size in two years. Change: such reads carry a ReadIndex proof taken in parallel; the timer looks only at members for which the node has a role; tests drive real processes.

--- a/libs/fleet/burdockrun_fleet/agent.py
+++ b/libs/fleet/burdockrun_fleet/agent.py
@@ -219,6 +219,10 @@
         """Return the live nodes, with this one."""
         return (self.node, *self._membership.list_alive())
 
+    def list_role_members(self) -> Sequence[str]:
+        """Return the names of the members for which this node has or expects a role."""
+        return self._roles.list_members()
+
     def connection_budget(self, database: Database, member: Member, now_ms: int) -> int:
         """Return how many connections this node may have open to a member now."""
         return self._roles.budget(database, member, now_ms)
--- a/libs/fleet/burdockrun_fleet/roles.py
+++ b/libs/fleet/burdockrun_fleet/roles.py
@@ -130,6 +130,10 @@
             self._send_release(roster, {holding.member.name})
             self.tick(now_ms)
 
+    def list_members(self) -> list[str]:
+        """Return the names of the members for which this node has or expects a role."""
+        return list(self._holdings)
+
     def held_role(self, member: Member) -> Role | None:
         """Return the role that was granted to this node for a member."""
         holding = self._holdings.get(member.name)
--- a/libs/messages/burdockrun_messages/endpoints.py
+++ b/libs/messages/burdockrun_messages/endpoints.py
@@ -50,7 +50,7 @@
     `term` is the term that the member has accepted, `position` its last entry (with the term under
     which the entry was written), `upstream_silent_ms` how long a replica has not heard its primary,
     `confirmed_index` for a primary the index held by a majority, `pending` and `completed` its
-    statements waiting and finished so far.
+    statements waiting and finished so far. `fresh` answers `AwaitConfirmed.fresh`.
     """
 
     member: str
@@ -62,6 +62,7 @@
     confirmed_index: int = 0
     pending: int = 0
     completed: int = 0
+    fresh: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -96,11 +97,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AwaitConfirmed:
-    """Waits until the primary of `term` knows that a majority holds `index`, at most `wait_ms`."""
+    """Waits until the primary of `term` knows that a majority holds `index`, at most `wait_ms`.
+
+    With `fresh`, it also waits until a majority has shown, by an exchange that began after this
+    call arrived, that it still follows the term.
+    """
 
     term: int
     index: int
     wait_ms: int
+    fresh: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/libs/proxy/burdockrun_proxy/home.py
+++ b/libs/proxy/burdockrun_proxy/home.py
@@ -29,6 +29,7 @@
 from result import Err
 
 from burdockrun_proxy.const import CONNECTION_FAILED
+from burdockrun_proxy.freshness import FreshnessCheck
 from burdockrun_proxy.models import (
     Connection,
     Execution,
@@ -36,6 +37,7 @@
     HomeRequest,
     answer_unknown,
     is_write,
+    needs_current_data,
     needs_settlement,
     refuse,
     scope_request_id,
@@ -65,6 +67,7 @@
         positions: PositionTable,
         acknowledger: Acknowledger,
         settlement: Settlement,
+        freshness: FreshnessCheck,
         scheduler: RankScheduler,
         on_life: OnLife,
     ) -> None:
@@ -77,6 +80,7 @@
         self._positions = positions
         self._acknowledger = acknowledger
         self._settlement = settlement
+        self._freshness = freshness
         self._scheduler = scheduler
         self._on_life = on_life
         self._budget = 0
@@ -117,6 +121,8 @@
         if request.request.transaction is not None:
             self._accept_in_transaction(request, now_ms)
             return
+        if needs_current_data(request):
+            self._prove_primary(request)
         if request.max_lag_ms is None and self._wait_for_position(request, now_ms):
             return
         self._enqueue(request, now_ms)
@@ -203,6 +209,21 @@
             return False
         return record.active.primary == self.member.name
 
+    def _prove_primary(self, request: HomeRequest) -> None:
+        record = self.record
+        if record is None or record.active is None or not self._serves_writes():
+            return
+        request.proof_pending = True
+
+        def proven(holds: bool, now_ms: int) -> None:
+            request.proof_pending = False
+            if not holds:
+                self._reply_not_primary(request, now_ms)
+            elif request.held_reply is not None:
+                self._reply(request, request.held_reply, now_ms)
+
+        self._freshness.prove(self.member, record.active.term, proven)
+
     def _enqueue(self, request: HomeRequest, now_ms: int) -> None:
         work = Work(
             work_id=next(self._ids),
@@ -484,5 +505,13 @@
     def _reply(self, request: HomeRequest, reply: HomeReply, now_ms: int) -> None:
         if request.answered:
             return
+        if request.proof_pending and is_done(reply):
+            request.held_reply = reply
+            return
         request.answered = True
         request.on_reply(reply, now_ms)
+
+
+def is_done(reply: HomeReply) -> bool:
+    """Return whether a reply carries the result of a statement."""
+    return reply.answer is not None and reply.answer.outcome is Outcome.DONE
--- a/libs/proxy/burdockrun_proxy/models.py
+++ b/libs/proxy/burdockrun_proxy/models.py
@@ -34,7 +34,11 @@
 
 @dataclass(kw_only=True, slots=True)
 class HomeRequest:
-    """Request at the home of a member; `deadline_ms` is a point in time."""
+    """Request at the home of a member; `deadline_ms` is a point in time.
+
+    `held_reply` is the reply to a read that is done but waits for the proof that the member was
+    still the primary.
+    """
 
     request: StatementRequest
     rank: str
@@ -44,6 +48,8 @@
     on_reply: OnHomeReply
     answered: bool = False
     attempts: int = 0
+    proof_pending: bool = False
+    held_reply: HomeReply | None = None
 
 
 class ConnectionState(StrEnum):
@@ -118,6 +124,11 @@
     return request.access == "write" or request.step is not None
 
 
+def needs_current_data(request: HomeRequest) -> bool:
+    """Return whether a read must see every write acknowledged before it arrived."""
+    return not is_write(request.request) and request.required is None and request.max_lag_ms is None
+
+
 def needs_settlement(request: StatementRequest) -> bool:
     """Return whether a lost answer leaves open if the request took effect."""
     if request.step is not None:
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -51,6 +51,7 @@
     TERM_LEARNED,
 )
 from burdockrun_proxy.entry import EntryDesk
+from burdockrun_proxy.freshness import FreshnessCheck
 from burdockrun_proxy.home import MemberHome
 from burdockrun_proxy.models import HomeReply, HomeRequest
 from burdockrun_proxy.policies import (
@@ -112,6 +113,7 @@
         self.fleet.on_records = self._learn_records
         self._acknowledger = Acknowledger(self._outbox)
         self._settlement = Settlement(self._outbox, self._acknowledger, self._find_primary)
+        self._freshness = FreshnessCheck(self._outbox)
         self._entry = EntryDesk(
             node=node,
             codec=TokenCodec(session_keys),
@@ -298,21 +300,29 @@
 
     def _resize_homes(self, now_ms: int) -> None:
         """Take up and give up roles so that each home holds its connection budget."""
-        for service, database, member in self._members.values():
-            budget = self.fleet.connection_budget(database, member, now_ms)
-            if self._serves_nothing(member):
-                budget = 0
-            home = self._homes.get(member.name)
-            if home is None and budget > 0:
-                home = self._open_home(service, database, member)
-            if home is not None:
-                home.set_budget(budget, now_ms)
+        for name in self.fleet.list_role_members():
+            found = self._members.get(name)
+            if found is not None:
+                self._resize_home(*found, now_ms)
+        roles = set(self.fleet.list_role_members())
         for name, home in tuple(self._homes.items()):
-            if name not in self._members:
+            if name not in self._members or name not in roles:
                 home.set_budget(0, now_ms)
             self._close_unused(name, home, now_ms)
         self._supervise(now_ms)
 
+    def _resize_home(
+        self, service: Service, database: Database, member: Member, now_ms: int
+    ) -> None:
+        budget = self.fleet.connection_budget(database, member, now_ms)
+        if self._serves_nothing(member):
+            budget = 0
+        home = self._homes.get(member.name)
+        if home is None and budget > 0:
+            home = self._open_home(service, database, member)
+        if home is not None:
+            home.set_budget(budget, now_ms)
+
     def _serves_nothing(self, member: Member) -> bool:
         record = None
         found = self._members.get(member.name)
@@ -336,6 +346,7 @@
             positions=self._positions,
             acknowledger=self._acknowledger,
             settlement=self._settlement,
+            freshness=self._freshness,
             scheduler=self._policies.scheduler(service, database),
             on_life=partial(self._note_life, database.name),
         )
--- a/script/demo.py
+++ b/script/demo.py
@@ -5,8 +5,9 @@
 import subprocess
 import sys
 import time
+from pathlib import Path
 
-from processes import Cluster, fetch_json, wait_until_ready
+from script.processes import Cluster, fetch_json, wait_until_ready
 
 DOMAINS = ["muc-nord", "nbg"]
 DATABASE = "wende-1"
@@ -34,7 +35,8 @@
     """Submit the ticket with the operators' client and read back where it is in force."""
     path = cluster.folder / "ticket.json"
     path.write_text(json.dumps(build_ticket(cluster), indent=2))
-    control = ["burdockrunctl", "--platform", f"127.0.0.1:{cluster.platform_port}"]
+    program = str(Path(sys.executable).parent / "burdockrunctl")
+    control = [program, "--platform", f"127.0.0.1:{cluster.platform_port}"]
     print(run([*control, "ticket", "submit", str(path)]))
     wait_until_ready([proxy.port for proxy in cluster.proxies])
     limit = time.monotonic() + 10
--- a/script/processes.py
+++ b/script/processes.py
@@ -4,6 +4,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.error
@@ -65,7 +66,10 @@
         """Start a program with its output in a log file."""
         log = self.folder / f"{name}.log"
         with log.open("wb") as output:
-            popen = subprocess.Popen(command, stdout=output, stderr=subprocess.STDOUT)
+            program = Path(sys.executable).parent / command[0]
+            popen = subprocess.Popen(
+                (str(program), *command[1:]), stdout=output, stderr=subprocess.STDOUT
+            )
         self.processes[name] = Process(name=name, popen=popen, log=log)
         return self.processes[name]
 
