--- a/libs/fleet/burdockrun_fleet/agent.py
+++ b/libs/fleet/burdockrun_fleet/agent.py
@@ -79,7 +79,7 @@
         self.on_records: Callable[[Sequence[GroupRecord], int], None] | None = None
         self._seeds = tuple(seeds)
         self._outbox = outbox
-        self._options = options or SpreadOptions()
+        self.options = options or SpreadOptions()
         self._wall_offset_ms = wall_offset_ms
         self._port = PlatformPort(outbox)
         self._feed = TicketFeed(ticket_format, outbox)
@@ -215,6 +215,14 @@
         """Return the live nodes, with this one."""
         return (self.node, *self._membership.list_alive())
 
+    def is_alive(self, name: str) -> bool:
+        """Return whether a node counts as alive here."""
+        return self._membership.is_alive(name)
+
+    def is_coordinator(self, domain: str, now_ms: int) -> bool:
+        """Return whether this node holds the lease of a domain now."""
+        return self._campaign.is_coordinator(domain, now_ms)
+
     def connection_budget(self, database: Database, member: Member, now_ms: int) -> int:
         """Return how many connections this node may have open to a member now."""
         return self._roles.budget(database, member, now_ms)
@@ -257,7 +265,7 @@
         peer.ticket = digest.ticket
         peer.roster_epochs = digest.roster_epochs
         self._campaign.note_digest(sender, digest, now_ms)
-        if not self._options.digest_pull:
+        if not self.options.digest_pull:
             return
         self._feed.pull(sender, digest.ticket, now_ms)
         self._rosters.answer_digest(sender, digest.roster_epochs)
@@ -293,7 +301,7 @@
             self._push(TermsPush(records=tuple(newer)), peer)
 
     def _push(self, message: PeerMessage, without: str) -> None:
-        for info in self._membership.choose(self._options.fanout, without=without):
+        for info in self._membership.choose(self.options.fanout, without=without):
             self._outbox.send_peer(info, message)
 
     def _configured(self, configuration: Configuration, now_ms: int) -> None:
--- a/libs/fleet/burdockrun_fleet/const.py
+++ b/libs/fleet/burdockrun_fleet/const.py
@@ -15,6 +15,8 @@
 # A region may be away for an hour; its nodes are looked for a while longer.
 FORGET_DEAD_MS: Final = 2 * 3_600_000
 LOST_PING_MS: Final = 5_000
+# Bad news travels on one extra ping at most this often, whatever the number of failures.
+HURRY_MS: Final = 500
 JOIN_RETRY_MS: Final = 1_000
 JOIN_PEERS: Final = 3
 REPEAT_FACTOR: Final = 3
--- /dev/null
+++ b/libs/fleet/burdockrun_fleet/experiment.py
@@ -0,0 +1,293 @@
+"""Measures the cost and the reaction times of the fleet protocols in virtual time.
+
+`python -m burdockrun_fleet.experiment --sizes 7 50 200 780 --seed 1` prints one JSON object per
+size. Processor time is that of handling events, with JSON, divided by virtual time.
+"""
+
+import argparse
+import gc
+import json
+import resource
+import statistics
+import sys
+import tracemalloc
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+from burdockrun_messages import Configuration, PutKey
+from burdockrun_settings import configuration_from_json, configuration_to_json
+
+from burdockrun_fleet.experiment_load import (
+    DOMAINS,
+    SharedFormat,
+    make_records,
+    make_ticket,
+)
+from burdockrun_fleet.loader import ticket_key
+from burdockrun_fleet.models import SpreadOptions
+from burdockrun_fleet.simulation import SimNode, Simulation, place_nodes
+
+NODES_AT_MOST = 780
+DATABASES_AT_MOST = 910
+WARM_UP_MS = 60_000
+STEADY_MS = 20_000
+TICKETS_PER_CASE = 5
+TICKET_LIMIT_MS = 15_000
+OUTAGE_MS = 120_000
+PAGE_BYTES = 4_096
+
+Figures = dict[str, object]
+
+
+def read_processor_s() -> float:
+    """Return the processor time of this process in seconds."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+def read_resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    return int(Path("/proc/self/statm").read_text().split()[1]) * PAGE_BYTES
+
+
+class Meter:
+    """Processor time of each node's event handling."""
+
+    def __init__(self, simulation: Simulation) -> None:
+        self.spent_s: dict[str, float] = {}
+        self._started_s = 0.0
+        simulation.before_handling = self._start
+        simulation.on_handled = self._stop
+
+    def _start(self) -> None:
+        self._started_s = read_processor_s()
+
+    def _stop(self, node: SimNode) -> None:
+        name = node.info.node
+        self.spent_s[name] = self.spent_s.get(name, 0.0) + read_processor_s() - self._started_s
+
+
+class Experiment:
+    """One fleet of a size, taken through all measurements."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.size = size
+        self.databases = max(1, round(DATABASES_AT_MOST * size / NODES_AT_MOST))
+        self.format = SharedFormat()
+        gc.collect()
+        self._base_bytes = read_resident_bytes()
+        self.simulation = Simulation(seed, self.format.make())
+        self.meter = Meter(self.simulation)
+        self.number = 0
+        for first in range(0, self.databases, 10):
+            self.submit(range(first, min(first + 10, self.databases)))
+        for key, value in make_records(self.databases):
+            self.simulation.write(PutKey(key=key, value=value))
+        infos = place_nodes(size, DOMAINS)
+        for info in infos:
+            self.simulation.add(info, infos[:3])
+
+    def submit(self, databases: Sequence[int] = range(10)) -> None:
+        """Commit the next ticket."""
+        self.number += 1
+        text = make_ticket(self.number, databases)
+        self.simulation.write(PutKey(key=ticket_key(self.number), value=text, expected_revision=0))
+
+    def measure(self) -> Figures:
+        """Run all measurements in turn."""
+        figures: Figures = {"nodes": self.size, "databases": self.databases}
+        figures["cold_start_peak_calls_per_s"] = self.run_and_find_peak(WARM_UP_MS)
+        figures["ready"] = self.count_ready()
+        figures |= self.measure_steady()
+        figures |= self.measure_memory()
+        figures |= self.measure_tickets()
+        figures |= self.measure_death()
+        figures |= self.measure_outage()
+        figures |= self.measure_restart()
+        return figures
+
+    def run_and_find_peak(self, duration_ms: int) -> int:
+        """Run for a while and return the greatest number of platform calls in one second."""
+        self.simulation.calls_per_s.clear()
+        self.simulation.run(duration_ms)
+        return max(self.simulation.calls_per_s.values(), default=0)
+
+    def count_ready(self) -> int:
+        """Return how many nodes have the newest ticket and know all nodes."""
+        return sum(
+            node.agent.configuration.number == self.number
+            and len(node.agent.list_nodes()) == self.size
+            for node in self.simulation.nodes.values()
+        )
+
+    def measure_steady(self) -> Figures:
+        """Measure a quiet fleet."""
+        before = {
+            n.info.node: (n.sent_bytes, n.received_bytes, n.sent_messages) for n in self.nodes
+        }
+        self.meter.spent_s.clear()
+        self.simulation.calls_per_s.clear()
+        self.simulation.run(STEADY_MS)
+        seconds = STEADY_MS / 1_000
+        rows = [
+            (
+                (node.sent_bytes - before[node.info.node][0]) / seconds,
+                (node.received_bytes - before[node.info.node][1]) / seconds,
+                (node.sent_messages - before[node.info.node][2]) / seconds,
+                100 * self.meter.spent_s.get(node.info.node, 0.0) / seconds,
+                self.is_coordinator(node),
+            )
+            for node in self.nodes
+        ]
+        return {
+            "sent_bytes_per_s": round(statistics.mean(row[0] for row in rows)),
+            "received_bytes_per_s": round(statistics.mean(row[1] for row in rows)),
+            "sent_messages_per_s": round(statistics.mean(row[2] for row in rows), 2),
+            "cpu_percent": round(statistics.mean(row[3] for row in rows), 3),
+            "coordinator_sent_bytes_per_s": round(max(row[0] for row in rows if row[4])),
+            "coordinator_cpu_percent": round(max(row[3] for row in rows if row[4]), 3),
+            "platform_calls_per_s": sum(self.simulation.calls_per_s.values()) / seconds,
+        }
+
+    def measure_memory(self) -> Figures:
+        """Measure memory per node; configurations are shared here and added apart."""
+        gc.collect()
+        shared_out = (read_resident_bytes() - self._base_bytes) / self.size
+        text = configuration_to_json(self.nodes[0].agent.configuration)
+        tracemalloc.start()
+        kept = configuration_from_json(text).unwrap()
+        own = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        assert isinstance(kept, Configuration)
+        return {
+            "memory_kb": round((shared_out + own) / 1_024),
+            "configuration_kb": round(own / 1_024),
+            "snapshot_kb": round(len(text) / 1_024),
+        }
+
+    def measure_tickets(self) -> Figures:
+        """Measure the time until a ticket is in force everywhere, by way of spreading."""
+        figures: Figures = {"ticket_ms": self.time_tickets(SpreadOptions())["ms"]}
+        network = self.simulation.network
+        network.loss = 0.05
+        network.platform_blocks = lambda info: info.domain == DOMAINS[0]
+        figures["loss_and_cut"] = self.time_tickets(SpreadOptions())
+        figures["loss_and_cut_push_alone"] = self.time_tickets(SpreadOptions(digest_pull=False))
+        figures["loss_and_cut_pull_alone"] = self.time_tickets(SpreadOptions(fanout=0))
+        network.loss = 0.0
+        network.platform_blocks = lambda info: False
+        for node in self.nodes:
+            node.agent.options = SpreadOptions()
+        self.simulation.run(20_000)
+        return figures
+
+    def time_tickets(self, options: SpreadOptions) -> Figures:
+        """Commit tickets one by one; `reached` is the least share of nodes after 4 s."""
+        times, reached, messages = [], [], 0
+        for node in self.nodes:
+            node.agent.options = options
+        self.simulation.run(10_000)
+        for _ in range(TICKETS_PER_CASE):
+            self.submit()
+            before = sum(node.sent_messages for node in self.nodes)
+            start_ms = self.simulation.now_ms
+            self.simulation.run(4_000, until=self.all_current)
+            reached.append(self.count_current() / self.size)
+            self.simulation.run(TICKET_LIMIT_MS - 4_000, until=self.all_current)
+            complete = self.all_current()
+            times.append(self.simulation.now_ms - start_ms if complete else None)
+            messages += sum(node.sent_messages for node in self.nodes) - before
+            for node in self.nodes:
+                node.agent.options = SpreadOptions()
+            self.simulation.run(10_000, until=self.all_current)
+            for node in self.nodes:
+                node.agent.options = options
+        known = [time_ms for time_ms in times if time_ms is not None]
+        return {
+            "ms": max(known) if len(known) == len(times) else None,
+            "reached_in_4_s": round(min(reached), 4),
+            "messages_per_node": round(messages / TICKETS_PER_CASE / self.size, 1),
+        }
+
+    def measure_death(self) -> Figures:
+        """Kill a node that coordinates nothing, then measure when the others know."""
+        victim = next(node.info for node in self.nodes if not self.is_coordinator(node))
+        self.simulation.stop(victim.node)
+        noticed = self.wait_until(lambda: not self.anybody_lists(victim.node))
+        rest = self.wait_until(lambda: not self.anyone_expects(victim.node))
+        self.simulation.add(victim, [self.nodes[0].info])
+        self.simulation.run(30_000)
+        return {"death_noticed_everywhere_ms": noticed, "roster_changed_ms": noticed + rest}
+
+    def measure_outage(self) -> Figures:
+        """Take the platform away for a while."""
+        self.simulation.network.platform_up = False
+        self.simulation.run(10_000)
+        during = self.run_and_find_peak(OUTAGE_MS - 10_000)
+        self.simulation.network.platform_up = True
+        after = self.run_and_find_peak(45_000)
+        return {"outage_peak_calls_per_s": during, "after_outage_peak_calls_per_s": after}
+
+    def measure_restart(self) -> Figures:
+        """Restart all processes at once."""
+        infos = [node.info for node in self.nodes]
+        for info in infos:
+            self.simulation.stop(info.node)
+        for info in infos:
+            self.simulation.add(info, infos[:3])
+        peak = self.run_and_find_peak(30_000)
+        return {"restart_peak_calls_per_s": peak, "ready_after_restart": self.count_ready()}
+
+    def wait_until(self, is_done: Callable[[], bool]) -> int:
+        """Run in steps of 50 ms, at most 30 s, and return the time taken."""
+        start_ms = self.simulation.now_ms
+        while not is_done() and self.simulation.now_ms < start_ms + 30_000:
+            self.simulation.run(50)
+        return self.simulation.now_ms - start_ms
+
+    @property
+    def nodes(self) -> list[SimNode]:
+        """Return the running nodes."""
+        return list(self.simulation.nodes.values())
+
+    def is_coordinator(self, node: SimNode) -> bool:
+        """Return whether a node coordinates its domain."""
+        return node.agent.is_coordinator(node.info.domain, self.simulation.now_ms)
+
+    def count_current(self) -> int:
+        """Return how many nodes have the newest ticket."""
+        return sum(node.agent.configuration.number == self.number for node in self.nodes)
+
+    def all_current(self) -> bool:
+        """Return whether all nodes have the newest ticket."""
+        nodes = self.simulation.nodes.values()
+        return all(node.agent.configuration.number == self.number for node in nodes)
+
+    def anybody_lists(self, name: str) -> bool:
+        """Return whether any node takes another for alive."""
+        return any(node.agent.is_alive(name) for node in self.nodes)
+
+    def anyone_expects(self, name: str) -> bool:
+        """Return whether any known roster lists a node."""
+        return any(
+            name in (info.node for info in roster.nodes)
+            for node in self.nodes
+            for roster in node.agent.rosters.values()
+        )
+
+
+def main(argv: Sequence[str] | None = None, write: Callable[[str], object] | None = None) -> int:
+    """Run the measurements for each size."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="+", default=[7, 50, 200, 780])
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args(argv)
+    for size in arguments.sizes:
+        figures = Experiment(size, arguments.seed).measure()
+        (write or sys.stdout.write)(json.dumps(figures) + "\n")
+        sys.stdout.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/libs/fleet/burdockrun_fleet/membership.py
+++ b/libs/fleet/burdockrun_fleet/membership.py
@@ -17,6 +17,7 @@
 
 from burdockrun_fleet.const import (
     FORGET_DEAD_MS,
+    HURRY_MS,
     INDIRECT_AFTER_MS,
     INDIRECT_PEERS,
     JOIN_PEERS,
@@ -97,6 +98,8 @@
         self._periods = 0
         self._next_ping_ms = 0
         self._next_lost_ms = 0
+        self._hurry = False
+        self._next_hurry_ms = 0
         self._next_join_ms = 0
         self._contacts: dict[str, NodeInfo] = {}
         self._alive: list[NodeInfo] | None = None
@@ -173,6 +176,11 @@
         if now_ms >= self._next_ping_ms:
             self._next_ping_ms = max(self._next_ping_ms + PING_PERIOD_MS, now_ms + 1)
             self._ping_next(now_ms)
+        if self._hurry and now_ms >= self._next_hurry_ms:
+            self._hurry = False
+            self._next_hurry_ms = now_ms + HURRY_MS
+            for info in self.choose(1):
+                self.send_ping(info, now_ms)
         if now_ms >= self._next_lost_ms:
             self._next_lost_ms = now_ms + LOST_PING_MS
             self._ping_lost(now_ms)
@@ -374,6 +382,7 @@
     def _add_news(self, info: NodeInfo, state: NodeState, incarnation: int) -> None:
         update = MemberUpdate(info=info, state=state, incarnation=incarnation)
         self._news[info.node] = _News(update)
+        self._hurry = self._hurry or state is not NodeState.ALIVE
 
     def _take_updates(self, receiver: NodeInfo, incarnation: int) -> tuple[MemberUpdate, ...]:
         """Return the least repeated news, first of all a wrong belief about the receiver itself."""
--- a/libs/fleet/burdockrun_fleet/simulation.py
+++ b/libs/fleet/burdockrun_fleet/simulation.py
@@ -131,12 +131,12 @@
         start_ms = self.now_ms
         end_ms = start_ms + duration_ms
         while self._queue and self._queue[0][0] <= end_ms:
-            at_ms, _, action = heapq.heappop(self._queue)
+            at_ms = self._queue[0][0]
             if at_ms > self.now_ms:
-                self.now_ms = at_ms
                 if until is not None and until():
                     return self.now_ms - start_ms
-            action()
+                self.now_ms = at_ms
+            heapq.heappop(self._queue)[2]()
         self.now_ms = end_ms
         return duration_ms
 
--- a/tests/fleet/common.py
+++ b/tests/fleet/common.py
@@ -1,16 +1,29 @@
 """Shared parts of the tests of the fleet library."""
 
+import random
+from collections.abc import Callable
+
+from burdockrun_base import ManualClock
 from burdockrun_fleet import TicketFormat
 from burdockrun_fleet.simulation import Simulation, place_nodes
 from burdockrun_messages import (
+    CallPlatform,
     Configuration,
     Database,
+    GetKey,
+    KeyEntry,
     Member,
     NodeInfo,
+    Outbox,
+    PlatformAnswered,
+    PlatformFailure,
+    PlatformOperation,
+    PlatformReply,
     PutKey,
     Rank,
     Service,
 )
+from burdockrun_platform import KeyValueStore
 from burdockrun_settings import (
     Ticket,
     apply_ticket,
@@ -85,3 +98,49 @@
 def numbers_in_force(simulation: Simulation) -> set[int]:
     """Return the ticket numbers in force over all nodes."""
     return {node.agent.configuration.number for node in simulation.nodes.values()}
+
+
+class StoreDriver:
+    """Runs decisions against a store on a manual clock, with lost answers if asked for."""
+
+    def __init__(self, clock: ManualClock, seed: int = 1) -> None:
+        self.clock = clock
+        self.rng = random.Random(seed)
+        self.store = KeyValueStore()
+        self.outbox = Outbox()
+        self.lost_requests = 0.0
+        self.lost_answers = 0.0
+
+    def apply(self, operation: PlatformOperation) -> PlatformReply:
+        """Apply an operation to the store."""
+        return self.store.apply(operation, self.clock.now_ms())
+
+    def put(self, key: str, value: str) -> None:
+        """Write a key."""
+        self.apply(PutKey(key=key, value=value))
+
+    def read(self, key: str) -> str:
+        """Return the value of a key."""
+        entry = self.apply(GetKey(key=key))
+        assert isinstance(entry, KeyEntry)
+        return entry.value
+
+    def answer(self, outbox: Outbox) -> None:
+        """Carry out the platform calls that a decision has asked for."""
+        for action in outbox.drain():
+            if not isinstance(action, CallPlatform):
+                continue
+            reply: PlatformReply = PlatformFailure(reason="lost")
+            if self.rng.random() >= self.lost_requests:
+                done = self.apply(action.operation)
+                reply = done if self.rng.random() >= self.lost_answers else reply
+            event = PlatformAnswered(call_id=action.call_id, reply=reply)
+            outbox.finish_platform(event, self.clock.now_ms())
+
+    def run(self, duration_ms: int, tick: Callable[[int], None]) -> None:
+        """Tick a decision that uses this driver's outbox every 50 ms."""
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.clock.advance(50)
+            tick(self.clock.now_ms())
+            self.answer(self.outbox)
--- /dev/null
+++ b/tests/fleet/test_membership.py
@@ -0,0 +1,123 @@
+"""Tests of membership: failures, false suspicion, partitions and healing."""
+
+from itertools import pairwise
+
+from burdockrun_fleet.rosters import RosterTable, list_previous, next_generation, shorten
+from burdockrun_fleet.simulation import Simulation, place_nodes
+from burdockrun_messages import NodeInfo, Outbox, Roster
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.fleet.common import DOMAINS, start_fleet
+
+NAMES = tuple(info for info in place_nodes(8, ("aug",)))
+
+
+def list_views(simulation: Simulation) -> set[int]:
+    """Return the numbers of live nodes that nodes see."""
+    return {len(node.agent.list_nodes()) for node in simulation.nodes.values()}
+
+
+def test_a_dead_node_is_noticed_everywhere_and_leaves_the_roster() -> None:
+    """Guards against requests that go to a node that no longer runs."""
+    simulation = start_fleet(seed=31, count=16)
+    simulation.stop("proxy-0005")
+    assert simulation.run(12_000, until=lambda: list_views(simulation) == {15}) < 12_000
+    simulation.run(5_000)
+    for node in simulation.nodes.values():
+        rosters = node.agent.rosters.values()
+        assert all(i.node != "proxy-0005" for roster in rosters for i in roster.nodes)
+
+
+def test_a_live_node_is_not_declared_dead_under_loss() -> None:
+    """Guards against false deaths when one message in ten is lost."""
+    simulation = start_fleet(seed=32, count=16)
+    simulation.network.loss = 0.1
+    before = sum(node.logged["fleet_member_out"] for node in simulation.nodes.values())
+    simulation.run(120_000)
+    after = sum(node.logged["fleet_member_out"] for node in simulation.nodes.values())
+    assert after == before
+
+
+def test_a_paused_node_is_welcomed_back() -> None:
+    """Guards against a node that stays dead for others after a pause."""
+    simulation = start_fleet(seed=33, count=12)
+    simulation.pause("proxy-0003", 15_000)
+    simulation.run(14_000)
+    others = [n.agent for name, n in simulation.nodes.items() if name != "proxy-0003"]
+    assert not any(agent.is_alive("proxy-0003") for agent in others)
+    simulation.run(15_000)
+    assert list_views(simulation) == {12}
+
+
+def test_regions_that_were_apart_find_each_other_without_a_storm() -> None:
+    """Guards against regions that forget each other, or flood the link when it is back."""
+    simulation = start_fleet(seed=34, count=16)
+    east = set(DOMAINS[:2])
+    quiet = count_messages(simulation, 10_000)
+    simulation.network.blocks = lambda a, b: (a.domain in east) != (b.domain in east)
+    simulation.run(240_000)
+    assert list_views(simulation) == {8}
+    simulation.network.blocks = lambda a, b: False
+    healing = count_messages(simulation, 10_000)
+    assert healing < 3 * quiet
+    simulation.run(40_000)
+    assert list_views(simulation) == {16}
+
+
+def count_messages(simulation: Simulation, duration_ms: int) -> int:
+    """Run and return the messages sent."""
+    before = sum(node.sent_messages for node in simulation.nodes.values())
+    simulation.run(duration_ms)
+    return sum(node.sent_messages for node in simulation.nodes.values()) - before
+
+
+def test_a_lost_rack_leaves_the_roster_and_its_roles_pass_on() -> None:
+    """Guards against a roster that cannot change because many nodes fell silent at once."""
+    simulation = start_fleet(seed=35, count=20, domains=("aug", "muc"))
+    rack = [name for name in sorted(simulation.nodes) if name[-1] in "02"][:3]
+    for name in rack:
+        simulation.stop(name)
+    simulation.run(20_000)
+    for node in simulation.nodes.values():
+        roster = node.agent.rosters["aug"]
+        assert roster.sealed
+        assert {info.node for info in roster.nodes}.isdisjoint(rack)
+
+
+def test_a_domain_without_nodes_is_served_by_others() -> None:
+    """Guards against members that have no home because their whole domain lost its proxies."""
+    simulation = start_fleet(seed=36, count=8)
+    lost = [n.info.node for n in simulation.nodes.values() if n.info.domain == DOMAINS[0]]
+    for name in lost:
+        simulation.stop(name)
+    simulation.run(120_000)
+    roster = next(iter(simulation.nodes.values())).agent.rosters[DOMAINS[0]]
+    assert roster.nodes
+    assert {info.node for info in roster.nodes}.isdisjoint(lost)
+    back = NodeInfo(node="back", domain=DOMAINS[0], host="10.0.9.9", port=1)
+    simulation.add(back, [next(iter(simulation.nodes.values())).info])
+    simulation.run(60_000)
+    roster = next(iter(simulation.nodes.values())).agent.rosters[DOMAINS[0]]
+    assert roster.nodes == (back,)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.sets(st.sampled_from(NAMES), min_size=1), min_size=1, max_size=8), st.data())
+def test_deltas_rebuild_the_same_rosters(sets: list[set[NodeInfo]], data: st.DataObject) -> None:
+    """Guards against nodes that compute homes over different rosters of one epoch."""
+    chain: list[Roster] = []
+    for nodes in sets:
+        ordered = tuple(sorted(nodes, key=lambda info: info.node))
+        last = chain[-1] if chain else None
+        if last is None or last.nodes != ordered:
+            chain.append(next_generation(last, "aug", ordered))
+    for before, after in pairwise(chain):
+        assert set(list_previous(after)) == set(before.nodes)
+    table = RosterTable(NAMES[0], Outbox())
+    for roster in chain:
+        sent = roster
+        if data.draw(st.booleans()):
+            sent = shorten(roster, table.epochs.get("aug", 0))
+        assert table.learn(sent, 0)
+        assert table.rosters["aug"].nodes == roster.nodes
--- /dev/null
+++ b/tests/fleet/test_tickets.py
@@ -0,0 +1,158 @@
+"""Tests of tickets: order, spreading, snapshots and newcomers."""
+
+from burdockrun_base import ManualClock
+from burdockrun_fleet import TicketFeed, snapshot_key, ticket_key
+from burdockrun_fleet.backoff import Backoff, PlatformPort
+from burdockrun_fleet.const import SNAPSHOT_HEAD
+from burdockrun_fleet.simulation import Simulation, place_nodes
+from burdockrun_fleet.snapshots import SnapshotWriter
+from burdockrun_messages import (
+    GetKey,
+    KeyEntry,
+    KeysReply,
+    ListKeys,
+    NodeInfo,
+    Outbox,
+    SendPeer,
+    SnapshotPush,
+    TicketRecord,
+    TicketsPull,
+)
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.fleet.common import (
+    DOMAINS,
+    FORMAT,
+    StoreDriver,
+    make_ticket,
+    numbers_in_force,
+    put_tickets,
+    start_fleet,
+)
+
+PEER = NodeInfo(node="peer", domain="aug", host="10.0.0.9", port=1)
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.lists(st.lists(st.integers(1, 12), max_size=4), max_size=25))
+def test_tickets_come_into_force_in_order_whatever_arrives(batches: list[list[int]]) -> None:
+    """Guards against gaps, repeats and steps back when pushes overtake each other."""
+    feed = TicketFeed(FORMAT, Outbox())
+    applied = []
+    for batch in batches:
+        before = feed.number
+        records = [TicketRecord(number=n, text=make_ticket(n, 1)) for n in batch]
+        applied += [ticket.number for ticket in feed.receive(records, 0)]
+        assert feed.number >= before
+    assert applied == list(range(1, feed.number + 1))
+    assert set(feed.configuration.services) == {f"s-{n}" for n in applied}
+
+
+def test_an_unusable_ticket_is_counted_and_changes_nothing() -> None:
+    """Guards against one bad value in the store that blocks all later tickets."""
+    feed = TicketFeed(FORMAT, Outbox())
+    feed.receive([TicketRecord(number=1, text="{"), TicketRecord(number=2, text=make_ticket(2))], 0)
+    assert feed.number == 2
+    assert set(feed.configuration.services) == {"s-2"}
+
+
+def test_an_older_snapshot_never_replaces_newer_tickets() -> None:
+    """Guards against a step back by a late snapshot."""
+    old, new = TicketFeed(FORMAT, Outbox()), TicketFeed(FORMAT, Outbox())
+    old.receive([TicketRecord(number=1, text=make_ticket(1))], 0)
+    new.receive([TicketRecord(number=n, text=make_ticket(n)) for n in (1, 2)], 0)
+    push = SnapshotPush(number=1, text=old.dump())
+    assert not new.receive_shard(push, 0)
+    assert new.number == 2
+
+
+def test_a_peer_far_behind_gets_a_snapshot_in_parts_that_fit_a_message() -> None:
+    """Guards against one oversized message with the whole configuration."""
+    outbox = Outbox()
+    feed = TicketFeed(FORMAT, outbox)
+    for number in range(1, 301):
+        feed.receive([TicketRecord(number=number, text=make_ticket(number, 2))], 0)
+    feed.answer_pull(PEER, TicketsPull(after_number=0))
+    sent = [action.message for action in outbox.drain() if isinstance(action, SendPeer)]
+    newcomer = TicketFeed(FORMAT, Outbox())
+    for message in reversed(sent):
+        assert isinstance(message, SnapshotPush)
+        assert len(message.text.encode()) <= 256 * 1024
+        newcomer.receive_shard(message, 0)
+    assert len(sent) > 1
+    assert newcomer.configuration == feed.configuration
+
+
+def test_a_ticket_is_in_force_within_4_s_with_loss_and_a_domain_without_platform() -> None:
+    """Guards against a domain that lags because it cannot reach the platform (I9)."""
+    simulation = start_fleet(seed=11, count=24)
+    simulation.network.loss = 0.05
+    simulation.network.platform_blocks = lambda info: info.domain == DOMAINS[0]
+    simulation.run(20_000)
+    for number in range(2, 12):
+        put_tickets(simulation, number, number)
+        simulation.run(4_000)
+        assert numbers_in_force(simulation) == {number}
+
+
+def test_in_force_is_published_for_every_domain_and_never_ahead_of_a_node() -> None:
+    """Guards against operators reading a ticket number that some node does not follow."""
+    simulation = start_fleet(seed=12, count=8)
+    slow = simulation.nodes["proxy-0001"]
+    put_tickets(simulation, 2, 2)
+    simulation.network.blocks = lambda a, b: slow.info in (a, b)
+    simulation.network.platform_blocks = lambda info: info == slow.info
+    simulation.run(1_500)
+    key = f"in_force/{slow.info.domain}"
+    entry = simulation.write(GetKey(key=key))
+    assert isinstance(entry, KeyEntry)
+    assert '"number":1' in entry.value
+    simulation.network.blocks = lambda a, b: False
+    simulation.run(4_000)
+    for domain in DOMAINS:
+        entry = simulation.write(GetKey(key=f"in_force/{domain}"))
+        assert isinstance(entry, KeyEntry)
+        assert '"number":2' in entry.value
+
+
+def test_a_newcomer_starts_from_peers_while_the_platform_is_down() -> None:
+    """Guards against a domain whose nodes are all replaced during an outage."""
+    simulation = start_fleet(seed=13, count=8)
+    simulation.network.platform_up = False
+    simulation.run(10_000)
+    seed_node = simulation.nodes["proxy-0001"].info
+    for name in ("proxy-0000", "proxy-0004"):
+        simulation.stop(name)
+    newcomer = simulation.add(
+        NodeInfo(node="new", domain=DOMAINS[0], host="10.0.9.9", port=1), [seed_node]
+    )
+    simulation.run(3_000)
+    assert newcomer.agent.configuration.number == 1
+
+
+def test_snapshots_replace_old_tickets_for_newcomers() -> None:
+    """Guards against a newcomer that needs tickets which were deleted."""
+    clock = ManualClock()
+    driver = StoreDriver(clock)
+    feed = TicketFeed(FORMAT, driver.outbox)
+    for number in range(1, 31):
+        driver.put(ticket_key(number), make_ticket(number, 1))
+    feed.receive([TicketRecord(number=n, text=make_ticket(n, 1)) for n in range(1, 31)], 0)
+    port = PlatformPort(driver.outbox)
+    writer = SnapshotWriter(
+        feed, port, Backoff(driver.rng), lambda now_ms: True, every=10, retained=5
+    )
+    driver.run(30_000, writer.tick)
+    left = driver.apply(ListKeys(prefix="tickets/"))
+    assert isinstance(left, KeysReply)
+    assert [entry.key for entry in left.entries] == [ticket_key(n) for n in range(26, 31)]
+    assert driver.read(SNAPSHOT_HEAD) == '{"number":30,"shards":1}'
+    assert driver.read(snapshot_key(30, 0)) == feed.dump()
+    simulation = Simulation(14, FORMAT)
+    simulation.store = driver.store
+    infos = place_nodes(3, ("aug",))
+    for info in infos:
+        simulation.add(info, infos)
+    simulation.run(15_000)
+    assert numbers_in_force(simulation) == {30}
