--- a/libs/messages/burdockrun_messages/__init__.py
+++ b/libs/messages/burdockrun_messages/__init__.py
@@ -78,6 +78,8 @@
 )
 from burdockrun_messages.outbox import OnControlReply, OnPlatformReply, Outbox
 from burdockrun_messages.peers import (
+    AuditEntry,
+    AuditPush,
     Digest,
     Forward,
     ForwardAnswer,
@@ -92,6 +94,7 @@
     Roster,
     RosterPush,
     SnapshotPush,
+    TaggedPeerMessage,
     TermsPull,
     TermsPush,
     TicketRecord,
@@ -133,6 +136,8 @@
     "Action",
     "ActiveTerm",
     "AskStatus",
+    "AuditEntry",
+    "AuditPush",
     "AwaitConfirmed",
     "CallControl",
     "CallPlatform",
@@ -215,6 +220,7 @@
     "Started",
     "StatementAnswer",
     "StatementRequest",
+    "TaggedPeerMessage",
     "TermStart",
     "TermsPull",
     "TermsPush",
--- /dev/null
+++ b/tests/fleet/common.py
@@ -0,0 +1,146 @@
+"""Shared parts of the tests of the fleet library."""
+
+import random
+from collections.abc import Callable
+
+from burdockrun_base import ManualClock
+from burdockrun_fleet import TicketFormat
+from burdockrun_fleet.simulation import Simulation, place_nodes
+from burdockrun_messages import (
+    CallPlatform,
+    Configuration,
+    Database,
+    GetKey,
+    KeyEntry,
+    Member,
+    NodeInfo,
+    Outbox,
+    PlatformAnswered,
+    PlatformFailure,
+    PlatformOperation,
+    PlatformReply,
+    PutKey,
+    Rank,
+    Service,
+)
+from burdockrun_platform import KeyValueStore
+from burdockrun_settings import (
+    Ticket,
+    apply_ticket,
+    configuration_from_json,
+    configuration_to_json,
+    ticket_from_json,
+    ticket_to_json,
+)
+from result import Err, Ok, Result
+
+DOMAINS = ("aug", "muc", "nbg", "rgb")
+RANK = Rank(name="urgent", order=0, target_ms=100, worth=1.0, floor=0.5)
+
+
+def apply_text(configuration: Configuration, text: str) -> Result[Configuration, str]:
+    """Apply the text of a ticket."""
+    ticket = ticket_from_json(text)
+    return ticket if isinstance(ticket, Err) else Ok(apply_ticket(configuration, ticket.ok_value))
+
+
+FORMAT = TicketFormat(apply=apply_text, dump=configuration_to_json, load=configuration_from_json)
+
+
+def make_database(number: int, connections: int = 16) -> Database:
+    """Return a database with three members in three domains."""
+    members = tuple(
+        Member(
+            name=f"db-{number}-{place}",
+            domain=DOMAINS[(number + place) % len(DOMAINS)],
+            host="10.1.0.1",
+            port=10_000 + 3 * number + place,
+            control_port=20_000 + 3 * number + place,
+        )
+        for place in range(3)
+    )
+    return Database(name=f"db-{number}", members=members, connections=connections, slots=2)
+
+
+def make_ticket(number: int, databases: int = 2) -> str:
+    """Return the text of a ticket that sets one service."""
+    chosen = tuple(make_database(number * 100 + at) for at in range(databases))
+    service = Service(name=f"s-{number}", account="account", ranks=(RANK,), databases=chosen)
+    return ticket_to_json(
+        Ticket(
+            author="operator",
+            reason="test",
+            services={service.name: service},
+            submission_id=f"submission-{number}",
+        )
+    )
+
+
+def put_tickets(simulation: Simulation, first: int, last: int, databases: int = 2) -> None:
+    """Write tickets to the store as an operator's client does."""
+    for number in range(first, last + 1):
+        text = make_ticket(number, databases)
+        key = f"tickets/{number:010d}"
+        simulation.write(PutKey(key=key, value=text, expected_revision=0))
+
+
+def start_fleet(seed: int, count: int, domains: tuple[str, ...] = DOMAINS) -> Simulation:
+    """Return a running fleet with one ticket in force."""
+    simulation = Simulation(seed, FORMAT)
+    put_tickets(simulation, 1, 1)
+    nodes: list[NodeInfo] = place_nodes(count, domains)
+    for info in nodes:
+        simulation.add(info, nodes[:3])
+    simulation.run(20_000)
+    return simulation
+
+
+def numbers_in_force(simulation: Simulation) -> set[int]:
+    """Return the ticket numbers in force over all nodes."""
+    return {node.agent.configuration.number for node in simulation.nodes.values()}
+
+
+class StoreDriver:
+    """Runs decisions against a store on a manual clock, with lost answers if asked for."""
+
+    def __init__(self, clock: ManualClock, seed: int = 1) -> None:
+        self.clock = clock
+        self.rng = random.Random(seed)
+        self.store = KeyValueStore()
+        self.outbox = Outbox()
+        self.lost_requests = 0.0
+        self.lost_answers = 0.0
+
+    def apply(self, operation: PlatformOperation) -> PlatformReply:
+        """Apply an operation to the store."""
+        return self.store.apply(operation, self.clock.now_ms())
+
+    def put(self, key: str, value: str) -> None:
+        """Write a key."""
+        self.apply(PutKey(key=key, value=value))
+
+    def read(self, key: str) -> str:
+        """Return the value of a key."""
+        entry = self.apply(GetKey(key=key))
+        assert isinstance(entry, KeyEntry)
+        return entry.value
+
+    def answer(self, outbox: Outbox) -> None:
+        """Carry out the platform calls that a decision has asked for."""
+        for action in outbox.drain():
+            if not isinstance(action, CallPlatform):
+                continue
+            reply: PlatformReply = PlatformFailure(reason="lost")
+            if self.rng.random() >= self.lost_requests:
+                done = self.apply(action.operation)
+                reply = done if self.rng.random() >= self.lost_answers else reply
+            event = PlatformAnswered(call_id=action.call_id, reply=reply)
+            outbox.finish_platform(event, self.clock.now_ms())
+
+    def run(self, duration_ms: int, tick: Callable[[int], None]) -> None:
+        """Tick a decision that uses this driver's outbox every 50 ms."""
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.clock.advance(50)
+            tick(self.clock.now_ms())
+            self.answer(self.outbox)
