--- a/libs/fleet/burdockrun_fleet/agent.py
+++ b/libs/fleet/burdockrun_fleet/agent.py
@@ -174,7 +174,7 @@
             case RolesReleased():
                 self._roles.receive_release(peer, message, now_ms)
             case _:
-                self._receive_other(peer, message)
+                self._receive_other(peer, message, now_ms)
 
     def drain(self, now_ms: int) -> None:
         """Leave the fleet; roles go to others once the roster has changed."""
@@ -271,7 +271,7 @@
         self._rosters.answer_digest(sender, digest.roster_epochs)
         self._records.compare(sender, digest.terms_hash, now_ms)
 
-    def _receive_other(self, peer: str, message: PeerMessage) -> None:
+    def _receive_other(self, peer: str, message: PeerMessage, now_ms: int) -> None:
         if isinstance(message, AuditPush):
             self._trail.add(message.entries)
             return
@@ -279,9 +279,9 @@
         if info is None:
             return
         if isinstance(message, TicketsPull):
-            self._feed.answer_pull(info, message)
+            self._feed.answer_pull(info, message, now_ms)
         elif isinstance(message, TermsPull):
-            self._records.answer_pull(info, message)
+            self._records.answer_pull(info, message, now_ms)
 
     def _take_ticket_entries(self, entries: Sequence[KeyEntry], now_ms: int) -> None:
         tickets = [ticket for entry in entries if (ticket := read_ticket(entry)) is not None]
--- a/libs/fleet/burdockrun_fleet/backoff.py
+++ b/libs/fleet/burdockrun_fleet/backoff.py
@@ -44,6 +44,26 @@
         self._not_before_ms = 0
 
 
+class TokenBucket:
+    """Limit on a rate, with a burst."""
+
+    def __init__(self, per_s: float, burst: int) -> None:
+        self._per_ms = per_s / 1_000
+        self._burst = burst
+        self._tokens = float(burst)
+        self._filled_ms = 0
+
+    def try_take(self, now_ms: int) -> bool:
+        """Take a token; False means that the limit is reached."""
+        elapsed_ms = max(0, now_ms - self._filled_ms)
+        self._tokens = min(self._burst, self._tokens + elapsed_ms * self._per_ms)
+        self._filled_ms = now_ms
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
 class PlatformPort:
     """Calls the platform within a token bucket.
 
@@ -52,8 +72,7 @@
 
     def __init__(self, outbox: Outbox) -> None:
         self._outbox = outbox
-        self._tokens = float(CALLS_BURST)
-        self._filled_ms = 0
+        self._bucket = TokenBucket(CALLS_PER_S, CALLS_BURST)
 
     def call(
         self,
@@ -63,12 +82,8 @@
         timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> bool:
         """Start a call; False means that the limit is reached and nothing was sent."""
-        elapsed = max(0, now_ms - self._filled_ms)
-        self._tokens = min(CALLS_BURST, self._tokens + elapsed * CALLS_PER_S / 1_000)
-        self._filled_ms = now_ms
-        if self._tokens < 1:
+        if not self._bucket.try_take(now_ms):
             return False
-        self._tokens -= 1
 
         def finish(reply: PlatformReply, then_ms: int) -> None:
             if isinstance(reply, PlatformFailure):
--- a/libs/fleet/burdockrun_fleet/const.py
+++ b/libs/fleet/burdockrun_fleet/const.py
@@ -23,6 +23,11 @@
 
 PUSH_FANOUT: Final = 3
 PULL_RETRY_MS: Final = 500
+SNAPSHOT_RETRY_MS: Final = 1_500
+# After a restart of the whole fleet all nodes ask the first one that has a snapshot. At 4 answers/s
+# for each node that has it the number of such nodes grows fivefold each second.
+LARGE_ANSWERS_PER_S: Final = 4
+LARGE_ANSWERS_BURST: Final = 4
 KEPT_TICKETS: Final = 256
 MAX_EARLY_TICKETS: Final = 256
 TICKETS_PER_PUSH: Final = 32
--- a/libs/fleet/burdockrun_fleet/experiment.py
+++ b/libs/fleet/burdockrun_fleet/experiment.py
@@ -183,20 +183,22 @@
 
     def time_tickets(self, options: SpreadOptions) -> Figures:
         """Commit tickets one by one; `reached` is the least share of nodes after 4 s."""
-        times, reached, messages = [], [], 0
+        times, reached, messages, size = [], [], 0, 0
         for node in self.nodes:
             node.agent.options = options
         self.simulation.run(10_000)
         for _ in range(TICKETS_PER_CASE):
             self.submit()
-            before = sum(node.sent_messages for node in self.nodes)
+            before, before_bytes = self.count_sent()
             start_ms = self.simulation.now_ms
             self.simulation.run(4_000, until=self.all_current)
             reached.append(self.count_current() / self.size)
             self.simulation.run(TICKET_LIMIT_MS - 4_000, until=self.all_current)
             complete = self.all_current()
             times.append(self.simulation.now_ms - start_ms if complete else None)
-            messages += sum(node.sent_messages for node in self.nodes) - before
+            after, after_bytes = self.count_sent()
+            messages += after - before
+            size += after_bytes - before_bytes
             for node in self.nodes:
                 node.agent.options = SpreadOptions()
             self.simulation.run(10_000, until=self.all_current)
@@ -207,17 +209,30 @@
             "ms": max(known) if len(known) == len(times) else None,
             "reached_in_4_s": round(min(reached), 4),
             "messages_per_node": round(messages / TICKETS_PER_CASE / self.size, 1),
+            "sent_bytes_per_node": round(size / TICKETS_PER_CASE / self.size),
         }
 
     def measure_death(self) -> Figures:
         """Kill a node that coordinates nothing, then measure when the others know."""
         victim = next(node.info for node in self.nodes if not self.is_coordinator(node))
+        self.simulation.run(20_000)
+        _, before = self.count_sent()
+        self.simulation.run(30_000)
+        quiet = self.count_sent()[1] - before
+        victim_sent = self.simulation.nodes[victim.node].sent_bytes
+        before, start_ms = self.count_sent()[1] - victim_sent, self.simulation.now_ms
         self.simulation.stop(victim.node)
         noticed = self.wait_until(lambda: not self.anybody_lists(victim.node))
         rest = self.wait_until(lambda: not self.anyone_expects(victim.node))
         self.simulation.add(victim, [self.nodes[0].info])
         self.simulation.run(30_000)
-        return {"death_noticed_everywhere_ms": noticed, "roster_changed_ms": noticed + rest}
+        spent = self.count_sent()[1] - before
+        extra = spent - quiet * (self.simulation.now_ms - start_ms) / 30_000
+        return {
+            "death_noticed_everywhere_ms": noticed,
+            "roster_changed_ms": noticed + rest,
+            "replacement_extra_bytes_per_node": round(extra / self.size),
+        }
 
     def measure_outage(self) -> Figures:
         """Take the platform away for a while."""
@@ -245,6 +260,11 @@
             self.simulation.run(50)
         return self.simulation.now_ms - start_ms
 
+    def count_sent(self) -> tuple[int, int]:
+        """Return the messages and bytes sent so far."""
+        nodes = self.simulation.nodes.values()
+        return sum(n.sent_messages for n in nodes), sum(n.sent_bytes for n in nodes)
+
     @property
     def nodes(self) -> list[SimNode]:
         """Return the running nodes."""
--- a/libs/fleet/burdockrun_fleet/records.py
+++ b/libs/fleet/burdockrun_fleet/records.py
@@ -4,7 +4,14 @@
 
 from burdockrun_messages import GroupRecord, GroupState, NodeInfo, Outbox, TermsPull, TermsPush
 
-from burdockrun_fleet.const import RECORD_BUCKETS, RECORDS_PER_PUSH, RECORDS_SETTLE_MS
+from burdockrun_fleet.backoff import TokenBucket
+from burdockrun_fleet.const import (
+    LARGE_ANSWERS_BURST,
+    LARGE_ANSWERS_PER_S,
+    RECORD_BUCKETS,
+    RECORDS_PER_PUSH,
+    RECORDS_SETTLE_MS,
+)
 from burdockrun_fleet.rendezvous import hash_name
 
 
@@ -26,6 +33,7 @@
         self.on_records: Callable[[Sequence[GroupRecord], int], None] | None = None
         self._outbox = outbox
         self._hashes = [0] * RECORD_BUCKETS
+        self._large_answers = TokenBucket(LARGE_ANSWERS_PER_S, LARGE_ANSWERS_BURST)
         self._changed_ms = 0
         self._next_pull_ms = 0
 
@@ -47,9 +55,11 @@
         self._next_pull_ms = now_ms + RECORDS_SETTLE_MS
         self._outbox.send_peer(peer, TermsPull(hashes=tuple(self._hashes)))
 
-    def answer_pull(self, peer: NodeInfo, pull: TermsPull) -> None:
+    def answer_pull(self, peer: NodeInfo, pull: TermsPull, now_ms: int) -> None:
         """Send the records that a peer asks for."""
         chosen = [record for record in self.records.values() if self._is_asked(record, pull)]
+        if len(chosen) > RECORDS_PER_PUSH and not self._large_answers.try_take(now_ms):
+            return
         for at in range(0, len(chosen), RECORDS_PER_PUSH):
             push = TermsPush(records=tuple(chosen[at : at + RECORDS_PER_PUSH]))
             self._outbox.send_peer(peer, push)
--- a/libs/fleet/burdockrun_fleet/tickets.py
+++ b/libs/fleet/burdockrun_fleet/tickets.py
@@ -15,11 +15,15 @@
 )
 from result import Err
 
+from burdockrun_fleet.backoff import TokenBucket
 from burdockrun_fleet.const import (
     KEPT_TICKETS,
+    LARGE_ANSWERS_BURST,
+    LARGE_ANSWERS_PER_S,
     MAX_EARLY_TICKETS,
     PULL_RETRY_MS,
     SHARD_CHARS,
+    SNAPSHOT_RETRY_MS,
     SNAPSHOT_UNUSABLE,
     TICKET_IN_FORCE,
     TICKET_UNUSABLE,
@@ -52,6 +56,7 @@
         self._parts_of: tuple[int, int] = (0, 0)
         self._pull_after_ms = 0
         self._pulled_number = -1
+        self._large_answers = TokenBucket(LARGE_ANSWERS_PER_S, LARGE_ANSWERS_BURST)
         self._dumped: tuple[int, list[str]] = (-1, [])
 
     @property
@@ -62,8 +67,10 @@
     def receive(self, tickets: Sequence[TicketRecord], now_ms: int) -> list[TicketRecord]:
         """Apply the tickets that follow in order; return those that came into force."""
         for ticket in tickets:
-            if ticket.number > self.number and len(self._early) < MAX_EARLY_TICKETS:
+            if ticket.number > self.number:
                 self._early[ticket.number] = ticket
+                if len(self._early) > MAX_EARLY_TICKETS:
+                    del self._early[max(self._early)]
         applied = []
         while (ticket_next := self._early.pop(self.number + 1, None)) is not None:
             self._apply(ticket_next)
@@ -113,17 +120,20 @@
             return
         if now_ms < self._pull_after_ms and self._pulled_number == self.number:
             return
-        self._pull_after_ms = now_ms + PULL_RETRY_MS
+        is_large = self.number == 0 or bool(self._parts)
+        self._pull_after_ms = now_ms + (SNAPSHOT_RETRY_MS if is_large else PULL_RETRY_MS)
         self._pulled_number = self.number
         self._outbox.send_peer(peer, TicketsPull(after_number=self.number))
 
-    def answer_pull(self, peer: NodeInfo, pull: TicketsPull) -> None:
+    def answer_pull(self, peer: NodeInfo, pull: TicketsPull, now_ms: int) -> None:
         """Send the tickets after a number, or a snapshot when they are no longer kept."""
         if pull.after_number >= self.number:
             return
         if pull.after_number + 1 in self._recent:
             self._outbox.send_peer(peer, TicketsPush(tickets=self._list_after(pull.after_number)))
             return
+        if not self._large_answers.try_take(now_ms):
+            return
         if self._dumped[0] != self.number:
             self._dumped = (self.number, cut_shards(self.dump()))
         number, parts = self._dumped
--- a/tests/fleet/test_tickets.py
+++ b/tests/fleet/test_tickets.py
@@ -73,7 +73,7 @@
     feed = TicketFeed(FORMAT, outbox)
     for number in range(1, 301):
         feed.receive([TicketRecord(number=number, text=make_ticket(number, 2))], 0)
-    feed.answer_pull(PEER, TicketsPull(after_number=0))
+    feed.answer_pull(PEER, TicketsPull(after_number=0), 0)
     sent = [action.message for action in outbox.drain() if isinstance(action, SendPeer)]
     newcomer = TicketFeed(FORMAT, Outbox())
     for message in reversed(sent):
