Add the naive version and hold requests over a gap

Cause: there was nothing to compare with, and work that waits out a failover was refused because it can no longer meet its target. Change: policies choose reads, order of work and placement; the naive ones read at the primary, serve in order of arrival and connect every node to every member.

--- a/libs/admission/burdockrun_admission/first_come.py
+++ b/libs/admission/burdockrun_admission/first_come.py
@@ -15,9 +15,14 @@
         self._queue: deque[Work] = deque()
         self._started: set[int] = set()
 
-    def offer(self, work: Work, now_ms: int) -> Result[None, Refusal]:
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait."""
+        return len(self._queue)
+
+    def offer(self, work: Work, now_ms: int, *, hold: bool = False) -> Result[None, Refusal]:
         """Let the request wait."""
-        del now_ms
+        del now_ms, hold
         self._queue.append(work)
         return Ok(None)
 
@@ -30,6 +35,17 @@
         self._started.add(work.work_id)
         return Take(work=work)
 
+    def expire(self, now_ms: int) -> tuple[Work, ...]:
+        """Drop nothing."""
+        del now_ms
+        return ()
+
+    def cancel(self, work_id: int) -> bool:
+        """Forget a request that waits; return whether there was one."""
+        before = len(self._queue)
+        self._queue = deque(work for work in self._queue if work.work_id != work_id)
+        return len(self._queue) < before
+
     def complete(self, work_id: int, now_ms: int) -> None:
         """Free the slot of a request."""
         del now_ms
--- a/libs/messages/burdockrun_messages/peers.py
+++ b/libs/messages/burdockrun_messages/peers.py
@@ -30,7 +30,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Forward:
-    """Request passed to the home of a member; `deadline_ms` is the remaining time."""
+    """Request passed to the home of a member; `deadline_ms` is the remaining time.
+
+    `waited_out_gap` says that the sender held the request while there was no primary or home.
+    """
 
     forward_id: int
     member: str
@@ -39,6 +42,7 @@
     sender: NodeInfo
     required: LogPosition | None = None
     max_lag_ms: int | None = None
+    waited_out_gap: bool = False
     kind: Literal["forward"] = "forward"
 
 
--- a/libs/proxy/burdockrun_proxy/__init__.py
+++ b/libs/proxy/burdockrun_proxy/__init__.py
@@ -1,15 +1,25 @@
 """Proxy node, its naive version, and the program `burdockrun-proxy`."""
 
 from burdockrun_proxy.models import HomeReply, HomeRequest
-from burdockrun_proxy.node import DEFAULT_POLICIES, ProxyNode
-from burdockrun_proxy.policies import Policies, read_policies, scheduler_policies
+from burdockrun_proxy.node import ProxyNode
+from burdockrun_proxy.placement import Placement, placements
+from burdockrun_proxy.policies import (
+    DEFAULT_POLICIES,
+    NAIVE_POLICIES,
+    Policies,
+    read_policies,
+    scheduler_policies,
+)
 
 __all__ = [
     "DEFAULT_POLICIES",
+    "NAIVE_POLICIES",
     "HomeReply",
     "HomeRequest",
+    "Placement",
     "Policies",
     "ProxyNode",
+    "placements",
     "read_policies",
     "scheduler_policies",
 ]
--- a/libs/proxy/burdockrun_proxy/directory.py
+++ b/libs/proxy/burdockrun_proxy/directory.py
@@ -1,18 +1,18 @@
-"""What the entry side asks of the fleet."""
+"""What the entry side asks about other nodes."""
 
+from collections.abc import Sequence
 from typing import Protocol
 
-from burdockrun_failover import Directory
-from burdockrun_messages import Member, NodeInfo
+from burdockrun_messages import NodeInfo
 
 
-class EntryDirectory(Directory, Protocol):
-    """Directory that also knows standbys and nodes by name."""
+class NodeDirectory(Protocol):
+    """Nodes of the fleet, as this node knows them."""
 
-    def find_standby(self, member: Member) -> NodeInfo | None:
-        """Return the node that stands in for the home of a member, or None."""
+    def find_node(self, name: str) -> NodeInfo | None:
+        """Return a node by its name, also one that drains, or None."""
         ...
 
-    def find_node(self, name: str) -> NodeInfo | None:
-        """Return a live node by name, or None."""
+    def list_nodes(self) -> Sequence[NodeInfo]:
+        """Return the live nodes, with this one."""
         ...
--- a/libs/proxy/burdockrun_proxy/entry.py
+++ b/libs/proxy/burdockrun_proxy/entry.py
@@ -36,7 +36,7 @@
     MAX_ATTEMPTS,
     REROUTE_DELAY_MS,
 )
-from burdockrun_proxy.directory import EntryDirectory
+from burdockrun_proxy.directory import NodeDirectory
 from burdockrun_proxy.models import (
     HomeReply,
     HomeRequest,
@@ -47,6 +47,7 @@
     needs_settlement,
     refuse,
 )
+from burdockrun_proxy.placement import Placement
 from burdockrun_proxy.policies import Policies, ReadSituation
 from burdockrun_proxy.transactions import parse_transaction_id
 
@@ -80,7 +81,8 @@
         *,
         node: NodeInfo,
         codec: TokenCodec,
-        directory: EntryDirectory,
+        directory: NodeDirectory,
+        placement: Placement,
         positions: PositionTable,
         outbox: Outbox,
         rng: Random,
@@ -93,6 +95,7 @@
         self._node = node
         self._codec = codec
         self._directory = directory
+        self._placement = placement
         self._positions = positions
         self._outbox = outbox
         self._rng = rng
@@ -292,7 +295,7 @@
         return self._policies.read(situation, now_ms, self._rng)
 
     def _choose_node(self, pending: Pending, member: Member) -> NodeInfo | None:
-        for node in (self._directory.find_home(member), self._directory.find_standby(member)):
+        for node in (self._placement.find_home(member), self._placement.find_standby(member)):
             if node is not None and node.node not in pending.avoid:
                 return node
         return None
@@ -324,6 +327,7 @@
                 sender=self._node,
                 required=pending.required,
                 max_lag_ms=pending.max_lag_ms,
+                waited_out_gap=pending.waited_out_gap,
             ),
         )
 
@@ -335,6 +339,7 @@
             deadline_ms=pending.deadline_ms,
             required=pending.required,
             max_lag_ms=pending.max_lag_ms,
+            waited_out_gap=pending.waited_out_gap,
             on_reply=self._build_on_reply(pending, attempt),
         )
         if not self._accept_here(route.member.name, request, now_ms):
@@ -376,6 +381,7 @@
 
     def _hold(self, pending: Pending, delay_ms: int, now_ms: int) -> None:
         pending.held = True
+        pending.waited_out_gap = True
         pending.node = None
         heapq.heappush(self._reroutes, (now_ms + delay_ms, pending.pending_id))
         self._outbox.wake_at(now_ms + delay_ms)
--- a/libs/proxy/burdockrun_proxy/home.py
+++ b/libs/proxy/burdockrun_proxy/home.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from itertools import count
 
-from burdockrun_admission import RankScheduler, Refusal, Work
+from burdockrun_admission import Refusal, Work
 from burdockrun_failover import Acknowledger
 from burdockrun_messages import (
     Access,
@@ -42,6 +42,7 @@
     refuse,
     scope_request_id,
 )
+from burdockrun_proxy.policies import WorkScheduler
 from burdockrun_proxy.pool import ConnectionPool
 from burdockrun_proxy.settlement import OpenQuestion, Settlement
 from burdockrun_proxy.transactions import TransactionTable
@@ -68,7 +69,7 @@
         acknowledger: Acknowledger,
         settlement: Settlement,
         freshness: FreshnessCheck,
-        scheduler: RankScheduler,
+        scheduler: WorkScheduler,
         on_life: OnLife,
     ) -> None:
         self.database = database
@@ -184,6 +185,8 @@
         self.transactions.expire(now_ms)
         self._resume_parked(now_ms)
         self._drop_expired_in_flight(now_ms)
+        for work in self._scheduler.expire(now_ms):
+            self._expire(work, now_ms)
         self.pump(now_ms)
 
     def pump(self, now_ms: int) -> None:
@@ -232,7 +235,7 @@
             arrived_ms=now_ms,
             deadline_ms=request.deadline_ms,
         )
-        offered = self._scheduler.offer(work, now_ms)
+        offered = self._scheduler.offer(work, now_ms, hold=request.waited_out_gap)
         if isinstance(offered, Err):
             self._reply_refused(request, offered.err_value, now_ms)
             return
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -54,18 +54,12 @@
 from burdockrun_proxy.freshness import FreshnessCheck
 from burdockrun_proxy.home import MemberHome
 from burdockrun_proxy.models import HomeReply, HomeRequest
-from burdockrun_proxy.policies import (
-    Policies,
-    build_rank_scheduler,
-    choose_replica_first,
-)
+from burdockrun_proxy.policies import DEFAULT_POLICIES, Policies
 from burdockrun_proxy.settlement import Settlement
 from burdockrun_proxy.status import NodeStatus, build_status
 
 ID_BITS: Final = 40
 
-DEFAULT_POLICIES = Policies(read=choose_replica_first, scheduler=build_rank_scheduler)
-
 Handler = Callable[["ProxyNode", Any, int], None]
 _handlers: Registry[Handler] = Registry("event handler")
 
@@ -109,6 +103,7 @@
         self.fleet = FleetAgent(
             node, seeds, self._outbox, rng, ticket_format, wall_offset_ms=wall_offset_ms
         )
+        self._placement = policies.placement(self.fleet)
         self.fleet.on_configuration = self._apply_configuration
         self.fleet.on_records = self._learn_records
         self._acknowledger = Acknowledger(self._outbox)
@@ -118,6 +113,7 @@
             node=node,
             codec=TokenCodec(session_keys),
             directory=self.fleet,
+            placement=self._placement,
             positions=self._positions,
             outbox=self._outbox,
             rng=rng,
@@ -249,6 +245,7 @@
             deadline_ms=now_ms + message.deadline_ms,
             required=message.required,
             max_lag_ms=message.max_lag_ms,
+            waited_out_gap=message.waited_out_gap,
             on_reply=partial(self._send_forward_answer, message),
         )
         if not self._accept(message.member, request, now_ms):
@@ -300,11 +297,11 @@
 
     def _resize_homes(self, now_ms: int) -> None:
         """Take up and give up roles so that each home holds its connection budget."""
-        for name in self.fleet.list_role_members():
+        for name in self._placement.list_role_members():
             found = self._members.get(name)
             if found is not None:
                 self._resize_home(*found, now_ms)
-        roles = set(self.fleet.list_role_members())
+        roles = set(self._placement.list_role_members())
         for name, home in tuple(self._homes.items()):
             if name not in self._members or name not in roles:
                 home.set_budget(0, now_ms)
@@ -314,7 +311,7 @@
     def _resize_home(
         self, service: Service, database: Database, member: Member, now_ms: int
     ) -> None:
-        budget = self.fleet.connection_budget(database, member, now_ms)
+        budget = self._placement.connection_budget(database, member, now_ms)
         if self._serves_nothing(member):
             budget = 0
         home = self._homes.get(member.name)
@@ -361,7 +358,7 @@
             home.stop_roles(now_ms)
             if home.unused:
                 del self._homes[name]
-                self.fleet.release_connections(home.member, now_ms)
+                self._placement.release_connections(home.member, now_ms)
 
     def _supervise(self, now_ms: int) -> None:
         wanted = {home.database.name for home in self._homes.values() if home.has_budget}
--- a/libs/proxy/burdockrun_proxy/policies.py
+++ b/libs/proxy/burdockrun_proxy/policies.py
@@ -3,13 +3,18 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from typing import Final, Protocol
 
-from burdockrun_admission import RankScheduler
+from burdockrun_admission import RankScheduler, Refusal, Take, Work
+from burdockrun_admission.first_come import FirstComeQueue
 from burdockrun_base import Registry
+from burdockrun_fleet import FleetAgent
 from burdockrun_messages import Database, Member, Service
 from burdockrun_routing import PositionTable, ReadQuery, choose_read_member
+from result import Result
 
 from burdockrun_proxy.models import Pending
+from burdockrun_proxy.placement import DirectPlacement, Placement, place_at_homes
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -28,15 +33,47 @@
 
 
 ChooseRead = Callable[[ReadSituation, int, Random], Member | None]
-BuildScheduler = Callable[[Service, Database], RankScheduler]
+
+
+class WorkScheduler(Protocol):
+    """Order in which the statements for a member run."""
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait."""
+        ...
+
+    def offer(self, work: Work, now_ms: int, *, hold: bool = False) -> Result[None, Refusal]:
+        """Let a request wait, or refuse it; `hold` says that it waited out a gap."""
+        ...
+
+    def take(self, now_ms: int) -> Take:
+        """Give the next request a slot, if one is free."""
+        ...
+
+    def expire(self, now_ms: int) -> tuple[Work, ...]:
+        """Drop and return the work that can no longer be served in time."""
+        ...
+
+    def complete(self, work_id: int, now_ms: int) -> None:
+        """Free the slot of a request."""
+        ...
+
+    def cancel(self, work_id: int) -> bool:
+        """Forget a request that waits; return whether there was one."""
+        ...
+
+
+BuildScheduler = Callable[[Service, Database], WorkScheduler]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Policies:
-    """Choice of a member for reads, and order of work at a member."""
+    """Choice of a member for reads, order of work at a member, and who holds connections."""
 
     read: ChooseRead
     scheduler: BuildScheduler
+    placement: Callable[[FleetAgent], Placement]
 
 
 read_policies: Registry[ChooseRead] = Registry("read policy")
@@ -72,3 +109,19 @@
 def build_rank_scheduler(service: Service, database: Database) -> RankScheduler:
     """Return a scheduler that serves urgent ranks first."""
     return RankScheduler(service.ranks, database.slots)
+
+
+@scheduler_policies.register("first_come")
+def build_first_come(service: Service, database: Database) -> FirstComeQueue:
+    """Return a scheduler that serves in order of arrival and refuses nothing."""
+    return FirstComeQueue(database.slots)
+
+
+DEFAULT_POLICIES: Final = Policies(
+    read=choose_replica_first, scheduler=build_rank_scheduler, placement=place_at_homes
+)
+
+# Every read at the primary, first come first served, no homes and no shared budget.
+NAIVE_POLICIES: Final = Policies(
+    read=choose_primary, scheduler=build_first_come, placement=DirectPlacement
+)
