--- a/libs/fleet/burdockrun_fleet/agent.py
+++ b/libs/fleet/burdockrun_fleet/agent.py
@@ -79,7 +79,7 @@
         self.on_records: Callable[[Sequence[GroupRecord], int], None] | None = None
         self._seeds = tuple(seeds)
         self._outbox = outbox
-        self._options = options or SpreadOptions()
+        self.options = options or SpreadOptions()
         self._wall_offset_ms = wall_offset_ms
         self._port = PlatformPort(outbox)
         self._feed = TicketFeed(ticket_format, outbox)
@@ -174,7 +174,7 @@
             case RolesReleased():
                 self._roles.receive_release(peer, message, now_ms)
             case _:
-                self._receive_other(peer, message)
+                self._receive_other(peer, message, now_ms)
 
     def drain(self, now_ms: int) -> None:
         """Leave the fleet; roles go to others once the roster has changed."""
@@ -219,6 +219,18 @@
         """Return the live nodes, with this one."""
         return (self.node, *self._membership.list_alive())
 
+    def list_role_members(self) -> Sequence[str]:
+        """Return the names of the members for which this node has or expects a role."""
+        return self._roles.list_members()
+
+    def is_alive(self, name: str) -> bool:
+        """Return whether a node counts as alive here."""
+        return self._membership.is_alive(name)
+
+    def is_coordinator(self, domain: str, now_ms: int) -> bool:
+        """Return whether this node holds the lease of a domain now."""
+        return self._campaign.is_coordinator(domain, now_ms)
+
     def connection_budget(self, database: Database, member: Member, now_ms: int) -> int:
         """Return how many connections this node may have open to a member now."""
         return self._roles.budget(database, member, now_ms)
@@ -261,13 +273,13 @@
         peer.ticket = digest.ticket
         peer.roster_epochs = digest.roster_epochs
         self._campaign.note_digest(sender, digest, now_ms)
-        if not self._options.digest_pull:
+        if not self.options.digest_pull:
             return
         self._feed.pull(sender, digest.ticket, now_ms)
         self._rosters.answer_digest(sender, digest.roster_epochs)
         self._records.compare(sender, digest.terms_hash, now_ms)
 
-    def _receive_other(self, peer: str, message: PeerMessage) -> None:
+    def _receive_other(self, peer: str, message: PeerMessage, now_ms: int) -> None:
         if isinstance(message, AuditPush):
             self._trail.add(message.entries)
             return
@@ -275,9 +287,9 @@
         if info is None:
             return
         if isinstance(message, TicketsPull):
-            self._feed.answer_pull(info, message)
+            self._feed.answer_pull(info, message, now_ms)
         elif isinstance(message, TermsPull):
-            self._records.answer_pull(info, message)
+            self._records.answer_pull(info, message, now_ms)
 
     def _take_ticket_entries(self, entries: Sequence[KeyEntry], now_ms: int) -> None:
         tickets = [ticket for entry in entries if (ticket := read_ticket(entry)) is not None]
@@ -297,7 +309,7 @@
             self._push(TermsPush(records=tuple(newer)), peer)
 
     def _push(self, message: PeerMessage, without: str) -> None:
-        for info in self._membership.choose(self._options.fanout, without=without):
+        for info in self._membership.choose(self.options.fanout, without=without):
             self._outbox.send_peer(info, message)
 
     def _configured(self, configuration: Configuration, now_ms: int) -> None:
--- a/libs/fleet/burdockrun_fleet/const.py
+++ b/libs/fleet/burdockrun_fleet/const.py
@@ -15,12 +15,19 @@
 # A region may be away for an hour; its nodes are looked for a while longer.
 FORGET_DEAD_MS: Final = 2 * 3_600_000
 LOST_PING_MS: Final = 5_000
+# Bad news travels on one extra ping at most this often, whatever the number of failures.
+HURRY_MS: Final = 500
 JOIN_RETRY_MS: Final = 1_000
 JOIN_PEERS: Final = 3
 REPEAT_FACTOR: Final = 3
 
 PUSH_FANOUT: Final = 3
 PULL_RETRY_MS: Final = 500
+SNAPSHOT_RETRY_MS: Final = 1_500
+# After a restart of the whole fleet all nodes ask the first one that has a snapshot. At 4 answers/s
+# for each node that has it the number of such nodes grows fivefold each second.
+LARGE_ANSWERS_PER_S: Final = 4
+LARGE_ANSWERS_BURST: Final = 4
 KEPT_TICKETS: Final = 256
 MAX_EARLY_TICKETS: Final = 256
 TICKETS_PER_PUSH: Final = 32
--- a/libs/proxy/burdockrun_proxy/home.py
+++ b/libs/proxy/burdockrun_proxy/home.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from itertools import count
 
-from burdockrun_admission import RankScheduler, Refusal, Work
+from burdockrun_admission import Refusal, Work
 from burdockrun_failover import Acknowledger
 from burdockrun_messages import (
     Access,
@@ -29,6 +29,7 @@
 from result import Err
 
 from burdockrun_proxy.const import CONNECTION_FAILED
+from burdockrun_proxy.freshness import FreshnessCheck
 from burdockrun_proxy.models import (
     Connection,
     Execution,
@@ -36,10 +37,12 @@
     HomeRequest,
     answer_unknown,
     is_write,
+    needs_current_data,
     needs_settlement,
     refuse,
     scope_request_id,
 )
+from burdockrun_proxy.policies import WorkScheduler
 from burdockrun_proxy.pool import ConnectionPool
 from burdockrun_proxy.settlement import OpenQuestion, Settlement
 from burdockrun_proxy.transactions import TransactionTable
@@ -65,7 +68,8 @@
         positions: PositionTable,
         acknowledger: Acknowledger,
         settlement: Settlement,
-        scheduler: RankScheduler,
+        freshness: FreshnessCheck,
+        scheduler: WorkScheduler,
         on_life: OnLife,
     ) -> None:
         self.database = database
@@ -77,6 +81,7 @@
         self._positions = positions
         self._acknowledger = acknowledger
         self._settlement = settlement
+        self._freshness = freshness
         self._scheduler = scheduler
         self._on_life = on_life
         self._budget = 0
@@ -117,6 +122,8 @@
         if request.request.transaction is not None:
             self._accept_in_transaction(request, now_ms)
             return
+        if needs_current_data(request):
+            self._prove_primary(request)
         if request.max_lag_ms is None and self._wait_for_position(request, now_ms):
             return
         self._enqueue(request, now_ms)
@@ -178,6 +185,8 @@
         self.transactions.expire(now_ms)
         self._resume_parked(now_ms)
         self._drop_expired_in_flight(now_ms)
+        for work in self._scheduler.expire(now_ms):
+            self._expire(work, now_ms)
         self.pump(now_ms)
 
     def pump(self, now_ms: int) -> None:
@@ -203,6 +212,21 @@
             return False
         return record.active.primary == self.member.name
 
+    def _prove_primary(self, request: HomeRequest) -> None:
+        record = self.record
+        if record is None or record.active is None or not self._serves_writes():
+            return
+        request.proof_pending = True
+
+        def proven(holds: bool, now_ms: int) -> None:
+            request.proof_pending = False
+            if not holds:
+                self._reply_not_primary(request, now_ms)
+            elif request.held_reply is not None:
+                self._reply(request, request.held_reply, now_ms)
+
+        self._freshness.prove(self.member, record.active.term, proven)
+
     def _enqueue(self, request: HomeRequest, now_ms: int) -> None:
         work = Work(
             work_id=next(self._ids),
@@ -211,7 +235,7 @@
             arrived_ms=now_ms,
             deadline_ms=request.deadline_ms,
         )
-        offered = self._scheduler.offer(work, now_ms)
+        offered = self._scheduler.offer(work, now_ms, hold=request.waited_out_gap)
         if isinstance(offered, Err):
             self._reply_refused(request, offered.err_value, now_ms)
             return
@@ -484,5 +508,13 @@
     def _reply(self, request: HomeRequest, reply: HomeReply, now_ms: int) -> None:
         if request.answered:
             return
+        if request.proof_pending and is_done(reply):
+            request.held_reply = reply
+            return
         request.answered = True
         request.on_reply(reply, now_ms)
+
+
+def is_done(reply: HomeReply) -> bool:
+    """Return whether a reply carries the result of a statement."""
+    return reply.answer is not None and reply.answer.outcome is Outcome.DONE
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -51,20 +51,15 @@
     TERM_LEARNED,
 )
 from burdockrun_proxy.entry import EntryDesk
+from burdockrun_proxy.freshness import FreshnessCheck
 from burdockrun_proxy.home import MemberHome
 from burdockrun_proxy.models import HomeReply, HomeRequest
-from burdockrun_proxy.policies import (
-    Policies,
-    build_rank_scheduler,
-    choose_replica_first,
-)
+from burdockrun_proxy.policies import DEFAULT_POLICIES, Policies
 from burdockrun_proxy.settlement import Settlement
 from burdockrun_proxy.status import NodeStatus, build_status
 
 ID_BITS: Final = 40
 
-DEFAULT_POLICIES = Policies(read=choose_replica_first, scheduler=build_rank_scheduler)
-
 Handler = Callable[["ProxyNode", Any, int], None]
 _handlers: Registry[Handler] = Registry("event handler")
 
@@ -108,14 +103,17 @@
         self.fleet = FleetAgent(
             node, seeds, self._outbox, rng, ticket_format, wall_offset_ms=wall_offset_ms
         )
+        self._placement = policies.placement(self.fleet)
         self.fleet.on_configuration = self._apply_configuration
         self.fleet.on_records = self._learn_records
         self._acknowledger = Acknowledger(self._outbox)
         self._settlement = Settlement(self._outbox, self._acknowledger, self._find_primary)
+        self._freshness = FreshnessCheck(self._outbox)
         self._entry = EntryDesk(
             node=node,
             codec=TokenCodec(session_keys),
             directory=self.fleet,
+            placement=self._placement,
             positions=self._positions,
             outbox=self._outbox,
             rng=rng,
@@ -247,6 +245,7 @@
             deadline_ms=now_ms + message.deadline_ms,
             required=message.required,
             max_lag_ms=message.max_lag_ms,
+            waited_out_gap=message.waited_out_gap,
             on_reply=partial(self._send_forward_answer, message),
         )
         if not self._accept(message.member, request, now_ms):
@@ -298,21 +297,29 @@
 
     def _resize_homes(self, now_ms: int) -> None:
         """Take up and give up roles so that each home holds its connection budget."""
-        for service, database, member in self._members.values():
-            budget = self.fleet.connection_budget(database, member, now_ms)
-            if self._serves_nothing(member):
-                budget = 0
-            home = self._homes.get(member.name)
-            if home is None and budget > 0:
-                home = self._open_home(service, database, member)
-            if home is not None:
-                home.set_budget(budget, now_ms)
+        for name in self._placement.list_role_members():
+            found = self._members.get(name)
+            if found is not None:
+                self._resize_home(*found, now_ms)
+        roles = set(self._placement.list_role_members())
         for name, home in tuple(self._homes.items()):
-            if name not in self._members:
+            if name not in self._members or name not in roles:
                 home.set_budget(0, now_ms)
             self._close_unused(name, home, now_ms)
         self._supervise(now_ms)
 
+    def _resize_home(
+        self, service: Service, database: Database, member: Member, now_ms: int
+    ) -> None:
+        budget = self._placement.connection_budget(database, member, now_ms)
+        if self._serves_nothing(member):
+            budget = 0
+        home = self._homes.get(member.name)
+        if home is None and budget > 0:
+            home = self._open_home(service, database, member)
+        if home is not None:
+            home.set_budget(budget, now_ms)
+
     def _serves_nothing(self, member: Member) -> bool:
         record = None
         found = self._members.get(member.name)
@@ -336,6 +343,7 @@
             positions=self._positions,
             acknowledger=self._acknowledger,
             settlement=self._settlement,
+            freshness=self._freshness,
             scheduler=self._policies.scheduler(service, database),
             on_life=partial(self._note_life, database.name),
         )
@@ -350,7 +358,7 @@
             home.stop_roles(now_ms)
             if home.unused:
                 del self._homes[name]
-                self.fleet.release_connections(home.member, now_ms)
+                self._placement.release_connections(home.member, now_ms)
 
     def _supervise(self, now_ms: int) -> None:
         wanted = {home.database.name for home in self._homes.values() if home.has_budget}
