Route reads by expected position

Cause: the first choice used only positions that were already known, so a replica that nobody had read from was never used and replicas served 0% of the reads of a trace.

--- a/libs/routing/burdockrun_routing/reads.py
+++ b/libs/routing/burdockrun_routing/reads.py
@@ -1,50 +1,90 @@
 """Choice of the member that serves a read."""
 
+import math
 import random
 
 from burdockrun_messages import LogPosition, Member
 
-from burdockrun_routing.const import VIEW_LIFE_MS
+from burdockrun_routing.const import HEALTHY_LAG_MS, RETRY_BEHIND_MS
 from burdockrun_routing.models import MemberView, ReadChoice, ReadQuery
 from burdockrun_routing.positions import PositionTable
 
 
 def estimate_catch_up_ms(view: MemberView, required: LogPosition | None, now_ms: int) -> int | None:
-    """Return in how many ms a member reaches `required`: 0 when it has, None when unknown."""
+    """Return in how many ms a member reaches `required`: 0 when it has, None when unknown.
+
+    A member that keeps up holds an entry about one lag after it was written, and `required` was
+    written before now. One that catches up does so at the rate at which its log grows.
+    """
     if view.position.has_reached(required):
         return 0
     if required is None or required.term > view.position.term or view.lag_ms is None:
         return None
-    return max(1, view.lag_ms - max(0, now_ms - view.observed_ms))
+    elapsed_ms = max(0, now_ms - view.observed_ms)
+    if view.lag_ms <= HEALTHY_LAG_MS:
+        return max(1, view.lag_ms)
+    if view.advance_per_ms <= 0.0 or view.lag_per_ms is None or view.lag_per_ms >= 0.0:
+        return None
+    missing = required.index - view.position.index
+    return max(1, math.ceil(missing / view.advance_per_ms) - elapsed_ms)
+
+
+def estimate_lag_ms(view: MemberView, now_ms: int) -> int | None:
+    """Return the expected age of a member's data, None when unknown.
+
+    A member that kept up or caught up is taken to go on so; any other one grows older.
+    """
+    if view.lag_ms is None:
+        return None
+    if view.lag_ms <= HEALTHY_LAG_MS or (view.lag_per_ms is not None and view.lag_per_ms < 0.0):
+        return view.lag_ms
+    return view.lag_ms + max(0, now_ms - view.observed_ms)
 
 
 def choose_read_member(
     query: ReadQuery, positions: PositionTable, now_ms: int, rng: random.Random
 ) -> ReadChoice:
-    """Return the member to read from, preferring a current replica of the own failure domain."""
-    usable = [
+    """Return the member to read from.
+
+    Replicas that should satisfy the read come first, those of the own failure domain before others;
+    next a replica about which too little is known, since only trying it tells; then the primary.
+    A replica that was found behind is tried again after `RETRY_BEHIND_MS`.
+    """
+    members = [
         member
         for member in query.database.members
-        if member.name not in query.unavailable and not member.leaving
+        if not member.leaving and member.name not in query.unavailable
     ]
-    primary = next((member for member in usable if member.name == query.primary), None)
-    current = [
-        member
-        for member in usable
-        if member is not primary and _is_current(query, positions, member, now_ms)
-    ]
-    if not current:
+    primary = next((member for member in members if member.name == query.primary), None)
+    if query.required is None and query.max_lag_ms is None:
         return ReadChoice(member=primary, expected_current=primary is not None)
-    near = [member for member in current if member.domain == query.domain]
-    return ReadChoice(member=rng.choice(near or current), expected_current=True)
+    expected: list[Member] = []
+    unknown: list[Member] = []
+    for member in members:
+        if member is primary:
+            continue
+        view = positions.view(query.database.name, member.name)
+        if view is not None and _is_expected(view, query, now_ms):
+            expected.append(member)
+        elif view is None or now_ms - view.observed_ms >= RETRY_BEHIND_MS:
+            unknown.append(member)
+    if expected:
+        return ReadChoice(member=_pick(expected, query.domain, rng), expected_current=True)
+    if unknown:
+        return ReadChoice(member=_pick(unknown, query.domain, rng), expected_current=False)
+    return ReadChoice(member=primary, expected_current=primary is not None)
 
 
-def _is_current(query: ReadQuery, positions: PositionTable, member: Member, now_ms: int) -> bool:
-    if query.required is None and query.max_lag_ms is None:
-        return False
-    view = positions.view(query.database.name, member.name)
-    if view is None or now_ms - view.observed_ms > VIEW_LIFE_MS:
-        return False
-    if query.max_lag_ms is not None and (view.lag_ms is None or view.lag_ms > query.max_lag_ms):
-        return False
-    return view.position.has_reached(query.required)
+def _is_expected(view: MemberView, query: ReadQuery, now_ms: int) -> bool:
+    if query.max_lag_ms is not None:
+        lag_ms = estimate_lag_ms(view, now_ms)
+        if lag_ms is None or lag_ms > query.max_lag_ms:
+            return False
+    catch_up_ms = estimate_catch_up_ms(view, query.required, now_ms)
+    return catch_up_ms is not None and catch_up_ms <= HEALTHY_LAG_MS
+
+
+def _pick(members: list[Member], domain: str, rng: random.Random) -> Member:
+    near = [member for member in members if member.domain == domain]
+    choices = near or members
+    return choices[0] if len(choices) == 1 else rng.choice(choices)
--- a/tests/routing/test_reads.py
+++ b/tests/routing/test_reads.py
@@ -80,3 +80,41 @@
     unknown = make_table(b_index=3, lag_ms=None).view("turns", "b")
     assert unknown is not None
     assert estimate_catch_up_ms(unknown, at(4), 1_000) is None
+
+
+def test_unknown_replica_is_tried_before_the_primary() -> None:
+    """Guards against replicas that are never used because nobody asks them."""
+    choice = choose_read_member(
+        make_query(required=at(10)), PositionTable(), 1_000, random.Random(1)
+    )
+    assert choice.member is not None
+    assert choice.member.name == "b"
+    assert not choice.expected_current
+
+
+def test_replica_that_was_behind_is_tried_again_after_a_while() -> None:
+    """Guards against a lagging replica that delays every read, or is never used again."""
+    table = make_table(b_index=3, c_index=3, lag_ms=60_000)
+    assert choose(make_query(required=at(10)), table, 1_100) == "a"
+    assert choose(make_query(required=at(10)), table, 2_000) == "b"
+
+
+def test_replica_that_keeps_up_is_expected_to_hold_a_recent_write() -> None:
+    """Guards against reads at the primary right after each write."""
+    table = make_table(b_index=9, lag_ms=5)
+    choice = choose_read_member(make_query(required=at(10)), table, 1_000, random.Random(1))
+    assert choice.expected_current
+    assert choice.member is not None
+    assert choice.member.name == "b"
+
+
+def test_stale_read_also_honours_the_session() -> None:
+    """Guards against a caller that no longer sees its own write because it accepts old data."""
+    table = make_table(b_index=3, c_index=10, lag_ms=900)
+    assert choose(make_query(required=at(10), max_lag_ms=2_000), table) == "c"
+
+
+def test_replicas_serve_while_there_is_no_primary() -> None:
+    """Guards against refused reads during a failover that a replica could serve."""
+    assert choose(make_query(required=at(10), primary=None), make_table()) == "b"
+    assert choose(make_query(primary=None), make_table()) is None
