Answer fresh proofs of leadership and break connections cleanly

Cause: AwaitConfirmed.fresh had no answer in the member; a partition fault logged a traceback; a full pipe hung the process tests; ADD refused numbers stored as text. Change: batches carry a round that replicas echo, so that a proof needs pulls that began after it; broken connections end without an exception.

--- a/libs/endpoint/burdockrun_endpoint/__init__.py
+++ b/libs/endpoint/burdockrun_endpoint/__init__.py
@@ -11,6 +11,7 @@
     LogEntry,
     PullEntries,
     TermEnd,
+    has_news,
 )
 
 __all__ = [
@@ -27,4 +28,5 @@
     "LogEntry",
     "PullEntries",
     "TermEnd",
+    "has_news",
 ]
--- a/libs/endpoint/burdockrun_endpoint/faults.py
+++ b/libs/endpoint/burdockrun_endpoint/faults.py
@@ -57,19 +57,19 @@
         """Apply the faults to one request; a lost answer breaks the connection."""
         if request.path == FAULTS_PATH:
             return await handler(request)
-        await self.async_enter(request)
+        if not await self.async_enter():
+            return break_connection(request)
         response = await handler(request)
         if isinstance(response, web.Response) and self.take_loss():
-            break_connection(request)
+            return break_connection(request)
         return response
 
-    async def async_enter(self, request: web.Request) -> None:
-        """Apply the faults that come before an operation."""
+    async def async_enter(self) -> bool:
+        """Apply the faults that come before an operation; return whether it may run."""
         await self._resumed.wait()
-        if self.faults.refused:
-            break_connection(request)
         if self.faults.delay_ms:
             await asyncio.sleep(self.faults.delay_ms / 1_000)
+        return not self.faults.refused
 
     async def async_leave(self) -> None:
         """Hold an answer back while the stand-in is paused."""
@@ -97,11 +97,8 @@
         return web.Response(text="ok")
 
 
-def break_connection(request: web.Request) -> None:
-    """Break the connection of a request without an answer.
-
-    Raises ConnectionResetError, which ends the handler.
-    """
+def break_connection(request: web.Request) -> web.Response:
+    """Break the connection of a request; the returned response is never sent."""
     if request.transport is not None:
         request.transport.abort()
-    raise ConnectionResetError("broken by a fault")
+    return web.Response(status=503)
--- a/libs/endpoint/burdockrun_endpoint/member.py
+++ b/libs/endpoint/burdockrun_endpoint/member.py
@@ -1,6 +1,7 @@
 """Model of one member of a replicated database, without I/O."""
 
 import random
+from dataclasses import replace
 
 from burdockrun_messages import (
     AwaitConfirmed,
@@ -143,7 +144,7 @@
         )
 
     def control(self, operation: ControlOperation, now_ms: int) -> ControlReply:
-        """Apply a control operation; `AwaitConfirmed` is answered at once, see `is_wait_over`."""
+        """Apply a control operation; `AwaitConfirmed` is for `begin_wait`."""
         match operation:
             case Fence():
                 self._fence(operation)
@@ -159,11 +160,30 @@
                 pass
         return self.status(now_ms)
 
-    def is_wait_over(self, operation: AwaitConfirmed) -> bool:
-        """Return whether the index is confirmed or its term has ended here."""
-        if self.term != operation.term or self.role is not MemberRole.PRIMARY:
+    def begin_wait(self, operation: AwaitConfirmed) -> int:
+        """Return the round of a wait that asks for a fresh proof of leadership, else 0."""
+        if not operation.fresh or self._has_ended(operation) or self._state.held is None:
+            return 0
+        return self._state.held.begin_round()
+
+    def is_wait_over(self, operation: AwaitConfirmed, round_number: int = 0) -> bool:
+        """Return whether the index is confirmed, freshly if asked for, or its term has ended."""
+        if self._has_ended(operation):
             return True
-        return self.confirmed_index >= operation.index
+        return self.confirmed_index >= operation.index and self._is_proven(round_number)
+
+    def answer_wait(
+        self, operation: AwaitConfirmed, round_number: int, now_ms: int
+    ) -> MemberStatus:
+        """Return the status that ends a wait."""
+        fresh = operation.fresh and not self._has_ended(operation) and self._is_proven(round_number)
+        return replace(self.status(now_ms), fresh=fresh)
+
+    def _has_ended(self, operation: AwaitConfirmed) -> bool:
+        return self.term != operation.term or self.role is not MemberRole.PRIMARY
+
+    def _is_proven(self, round_number: int) -> bool:
+        return self._state.held is not None and self._state.held.is_proven(round_number)
 
     def make_pull(self) -> PullEntries | None:
         """Return the pull for the upstream, or None when the member follows nobody."""
@@ -175,6 +195,7 @@
             last=self.log.last,
             ends=self.log.ends,
             lag_ms=self.lag_ms,
+            round=self._state.round,
         )
 
     def take_entries(self, pull: PullEntries, now_ms: int, waited_ms: int = 0) -> EntryBatch | None:
@@ -187,6 +208,7 @@
             return None
         common = self.log.find_common_index(pull.ends)
         self._state.held.note(pull.replica, common)
+        self._state.held.note_round(pull.replica, pull.round)
         self._state.update_confirmed()
         visible_ms = now_ms - pull.lag_ms
         limit = MAX_BATCH_ENTRIES
@@ -199,6 +221,7 @@
             confirmed_index=self.confirmed_index,
             complete=len(entries) < limit,
             waited_ms=waited_ms,
+            round=self._state.held.round,
         )
 
     def receive_entries(self, batch: EntryBatch | None, sent_ms: int, now_ms: int) -> None:
@@ -206,6 +229,7 @@
         if batch is None or batch.term != self.term or self.role is not MemberRole.REPLICA:
             return
         self._state.heard_ms = now_ms
+        self._state.round = batch.round
         if batch.last != self.log.last:
             return
         self.log.truncate(batch.common_index)
--- a/libs/endpoint/burdockrun_endpoint/member_server.py
+++ b/libs/endpoint/burdockrun_endpoint/member_server.py
@@ -9,6 +9,7 @@
     ControlOperation,
     ControlReply,
     Execute,
+    MemberStatus,
     decode_message,
     encode_message,
 )
@@ -24,7 +25,7 @@
 )
 from burdockrun_endpoint.faults import Faults, FaultSwitch
 from burdockrun_endpoint.member import DatabaseMember
-from burdockrun_endpoint.models import PullEntries
+from burdockrun_endpoint.models import EntryBatch, PullEntries, has_news
 
 
 class MemberServer:
@@ -104,7 +105,8 @@
             async for frame in socket:
                 if frame.type is not WSMsgType.TEXT:
                     break
-                await self._switch.async_enter(request)
+                if not await self._switch.async_enter():
+                    break
                 decoded = decode_message(Execute, frame.data)
                 if isinstance(decoded, Err):
                     await socket.close(code=1008, message=decoded.err_value[:100].encode())
@@ -149,15 +151,21 @@
             return web.Response(status=400, text=decoded.err_value)
         operation: ControlOperation = decoded.ok_value
         if isinstance(operation, AwaitConfirmed):
-            await self._async_await(operation)
+            return _reply(await self._async_await(operation))
         reply = self.member.control(operation, self._clock.now_ms())
         self.advance()
         return _reply(reply)
 
-    async def _async_await(self, operation: AwaitConfirmed) -> None:
+    async def _async_await(self, operation: AwaitConfirmed) -> MemberStatus:
         end_ms = self._clock.now_ms() + operation.wait_ms
-        while not self.member.is_wait_over(operation) and self._clock.now_ms() < end_ms:
+        round_number = self.member.begin_wait(operation)
+        if round_number:
+            self.notify()
+        while not self.member.is_wait_over(operation, round_number):
+            if self._clock.now_ms() >= end_ms:
+                break
             await self.async_wait_changed(end_ms)
+        return self.member.answer_wait(operation, round_number, self._clock.now_ms())
 
     async def _async_entries(self, request: web.Request) -> web.Response:
         decoded = decode_message(PullEntries, await request.read())
@@ -165,23 +173,27 @@
             return web.Response(status=400, text=decoded.err_value)
         pull = decoded.ok_value
         start_ms = self._clock.now_ms()
+        batch = self._take_entries(pull, start_ms)
+        self.notify()
         end_ms = start_ms + PULL_WAIT_MS
-        confirmed = self.member.confirmed_index
-        while True:
-            now_ms = self._clock.now_ms()
-            batch = self.member.take_entries(pull, now_ms, now_ms - start_ms)
-            if batch is None:
-                return web.Response(status=409, text="not the primary of this term")
-            if batch.entries or now_ms >= end_ms or self.is_cut_off:
+        while batch is not None and not has_news(pull, batch):
+            if self._clock.now_ms() >= end_ms or self.is_cut_off:
                 break
-            if self.member.confirmed_index != confirmed:
-                confirmed = self.member.confirmed_index
-                self.notify()
             await self.async_wait_changed(end_ms)
-        if self.member.confirmed_index != confirmed:
-            self.notify()
+            batch = self._take_entries(pull, start_ms)
+        if batch is None:
+            return web.Response(status=409, text="not the primary of this term")
         return web.Response(body=encode_message(batch), content_type="application/json")
 
+    def _take_entries(self, pull: PullEntries, start_ms: int) -> EntryBatch | None:
+        """Answer a pull at this moment and wake those whom its progress concerns."""
+        now_ms = self._clock.now_ms()
+        before = self.member.confirmed_index
+        batch = self.member.take_entries(pull, now_ms, now_ms - start_ms)
+        if self.member.confirmed_index != before:
+            self.notify()
+        return batch
+
     async def _async_close_sockets(self, _: web.Application) -> None:
         for socket in list(self._sockets.values()):
             await socket.close(code=1001)
--- a/libs/endpoint/burdockrun_endpoint/models.py
+++ b/libs/endpoint/burdockrun_endpoint/models.py
@@ -42,7 +42,8 @@
 class PullEntries:
     """Asks the primary of `term` for entries after the replica's log, described by `ends`.
 
-    Entries younger than `lag_ms` are withheld, which models slow replication.
+    Entries younger than `lag_ms` are withheld, which models slow replication. `round` echoes the
+    last batch of this term.
     """
 
     replica: str
@@ -50,6 +51,7 @@
     last: LogPosition
     ends: tuple[TermEnd, ...]
     lag_ms: int = 0
+    round: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -58,7 +60,8 @@
 
     `last` repeats the replica's position in the pull, so that it drops a batch that no longer fits.
     `complete` says that the batch reaches the end of the primary's log, `waited_ms` how long the
-    primary held the pull back.
+    primary held the pull back, `round` which proof of leadership runs: a pull that echoes it began
+    after the proof did.
     """
 
     term: int
@@ -68,6 +71,7 @@
     confirmed_index: int
     complete: bool
     waited_ms: int = 0
+    round: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -76,3 +80,8 @@
 
     connection_id: int
     answer: ExecuteAnswer
+
+
+def has_news(pull: PullEntries, batch: EntryBatch) -> bool:
+    """Return whether a batch should be sent at once and not after a wait."""
+    return bool(batch.entries) or batch.round > pull.round
--- a/libs/endpoint/burdockrun_endpoint/replication.py
+++ b/libs/endpoint/burdockrun_endpoint/replication.py
@@ -15,12 +15,30 @@
         self._primary = primary
         self._held = dict.fromkeys(members, 0)
         self._start_index = start_index
+        self._rounds = dict.fromkeys(members, 0)
+        self.round = 0
 
     def note(self, member: str, index: int) -> None:
         """Record that a member holds the entries up to `index` under this term."""
         if member in self._held:
             self._held[member] = max(self._held[member], index)
 
+    def begin_round(self) -> int:
+        """Start a proof that a majority still follows; return the round that it must echo."""
+        self.round += 1
+        self._rounds[self._primary] = self.round
+        return self.round
+
+    def note_round(self, member: str, number: int) -> None:
+        """Record that a member sent a pull after it had received `number` from the primary."""
+        if member in self._rounds:
+            self._rounds[member] = max(self._rounds[member], number)
+
+    def is_proven(self, number: int) -> bool:
+        """Return whether a majority has echoed a round."""
+        echoed = sum(1 for other in self._rounds.values() if other >= number)
+        return echoed > len(self._rounds) // 2
+
     def confirmed(self, last: LogPosition, known: int) -> int:
         """Return the greatest confirmed index; `known` is the one known so far."""
         self.note(self._primary, last.index)
--- a/libs/endpoint/burdockrun_endpoint/state.py
+++ b/libs/endpoint/burdockrun_endpoint/state.py
@@ -11,7 +11,8 @@
     """Log, term and role of a member.
 
     `heard_ms` is when a replica last heard its primary, `fresh_ms` the time whose data it holds
-    completely, `held` what a primary knows about its replicas.
+    completely, `held` what a primary knows about its replicas, `round` the last one that a
+    replica received.
     """
 
     def __init__(self) -> None:
@@ -23,6 +24,7 @@
         self.held: HeldEntries | None = None
         self.heard_ms: int | None = None
         self.fresh_ms: int | None = None
+        self.round = 0
 
     def take_role(self, role: MemberRole) -> None:
         """Take a role without an upstream or known replicas."""
@@ -31,6 +33,7 @@
         self.held = None
         self.heard_ms = None
         self.fresh_ms = None
+        self.round = 0
 
     def append(self, entry: LogEntry, now_ms: int) -> LogPosition:
         """Add an entry as primary."""
--- a/libs/endpoint/burdockrun_endpoint/statements.py
+++ b/libs/endpoint/burdockrun_endpoint/statements.py
@@ -74,12 +74,15 @@
 
 
 def _add(present: JsonValue, operand: JsonValue) -> int | float | None:
-    total = 0 if present is None else present
-    if isinstance(operand, str):
-        operand = _parse_number(operand)
-    if not isinstance(total, int | float) or not isinstance(operand, int | float):
-        return None
-    return total + operand
+    total = 0 if present is None else _read_number(present)
+    number = _read_number(operand)
+    return None if total is None or number is None else total + number
+
+
+def _read_number(value: JsonValue) -> int | float | None:
+    if isinstance(value, str):
+        return _parse_number(value)
+    return value if isinstance(value, int | float) else None
 
 
 def _parse_number(text: str) -> int | float | None:
--- a/tests/endpoint/test_member.py
+++ b/tests/endpoint/test_member.py
@@ -174,3 +174,26 @@
         ids = [entry.request_id for entry in log.entries]
         assert ids[: len(confirmed)] == confirmed
         confirmed = ids[: max(len(confirmed), group.members[primary].confirmed_index)]
+
+
+def test_proof_needs_pulls_that_began_after_it() -> None:
+    """Guards against a superseded primary that proves itself by a delayed pull."""
+    group = Group()
+    group.start_term(1, "m0")
+    group.replicate("m1", "m2")
+    delayed = group.members["m1"].make_pull()
+    assert delayed is not None
+    for name in ("m1", "m2"):
+        group.members[name].control(Fence(term=2), group.now_ms)
+    primary = group.members["m0"]
+    wait = AwaitConfirmed(term=1, index=0, wait_ms=0, fresh=True)
+    number = primary.begin_wait(wait)
+    primary.take_entries(delayed, group.now_ms)
+    assert not primary.answer_wait(wait, number, group.now_ms).fresh
+    group.start_term(3, "m0")
+    group.replicate("m1")
+    wait = AwaitConfirmed(term=3, index=0, wait_ms=0, fresh=True)
+    number = primary.begin_wait(wait)
+    assert not primary.is_wait_over(wait, number)
+    group.replicate("m1")
+    assert primary.answer_wait(wait, number, group.now_ms).fresh
--- a/tests/endpoint/test_programs.py
+++ b/tests/endpoint/test_programs.py
@@ -64,7 +64,9 @@
     )
     assert process.stderr is not None
     try:
-        yield json.loads(await process.stderr.readline())
+        event = json.loads(await process.stderr.readline())
+        drain = asyncio.create_task(process.stderr.read())
+        yield event
         process.send_signal(signal.SIGTERM)
         async with asyncio.timeout(20):
             assert await process.wait() == 0
@@ -72,6 +74,7 @@
         if process.returncode is None:
             process.kill()
             await process.wait()
+        assert b"Traceback" not in await drain
 
 
 @asynccontextmanager
