--- a/libs/proxy/burdockrun_proxy/entry.py
+++ b/libs/proxy/burdockrun_proxy/entry.py
@@ -260,7 +260,7 @@
     def _route(self, pending: Pending, now_ms: int) -> None:
         pending.held = False
         if pending.attempt >= MAX_ATTEMPTS:
-            self._finish_refused(pending, Code.RETRY_BUDGET, "too many attempts", now_ms)
+            self._finish_refused(pending, self._name_expiry(pending), "too many attempts", now_ms)
             return
         if pending.request.transaction is not None:
             self._route_in_transaction(pending, now_ms)
