Keep the report of the proxies when the member is unreachable

Cause: A member without free connections made the load program drop the finished run through the proxies. Change: What ran is reported, with exit status 3 for what did not.

--- a/libs/load/burdockrun_load/arguments.py
+++ b/libs/load/burdockrun_load/arguments.py
@@ -16,7 +16,7 @@
   0  done
   1  an answer broke a promise (a session did not read its own write, or a request ran twice)
   2  faults in the command line or the scenario
-  3  no proxy or member reachable, or a fault of the program
+  3  proxies or member not reachable (the report holds what ran), or a fault of the program
 """
 
 
--- a/libs/load/burdockrun_load/program.py
+++ b/libs/load/burdockrun_load/program.py
@@ -65,15 +65,19 @@
     runs: dict[str, Recorder] = {}
     async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
         program = _LoadProgram(arguments, scenario, session, events)
-        for name, target in program.list_targets():
+        targets = program.list_targets()
+        for name, target in targets:
             recorder = await program.async_drive(name, target)
-            if recorder is None:
-                return EXIT_UNREACHABLE
-            runs[name] = recorder
+            if recorder is not None:
+                runs[name] = recorder
+    if not runs:
+        return EXIT_UNREACHABLE
     mode = f"closed {arguments.closed}" if arguments.closed else "open"
     report = write_report(Path(arguments.report), scenario, mode, runs)
     print(json.dumps(report))
-    return EXIT_VIOLATION if report["violations"] else EXIT_DONE
+    if any(recorder.violations for recorder in runs.values()):
+        return EXIT_VIOLATION
+    return EXIT_DONE if len(runs) == len(targets) else EXIT_UNREACHABLE
 
 
 class _LoadProgram:
--- a/tests/load/test_program.py
+++ b/tests/load/test_program.py
@@ -75,6 +75,20 @@
     assert sum(outcome["unknown"] for outcome in outcomes) > 0
 
 
+async def test_report_of_the_proxies_is_kept_when_the_member_is_unreachable(
+    tmp_path: Path,
+) -> None:
+    """Guards against losing a whole run, and against an exit status that hides the missing one."""
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        direct = f"127.0.0.1:{unused.getsockname()[1]}"
+        options = ("--proxies", "ADDRESS", "--direct", direct)
+        status, report = await async_load(tmp_path, FakeProxy(), *options)
+    assert status == 3
+    assert report["ranks"]["urgent"]["requests"] > 0
+    assert "comparison" not in report
+
+
 def test_faults_in_the_scenario_give_exit_status_2(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
