Listen below the range of outgoing ports in process tests

Cause: with other tests on the machine a program lost its port to an outgoing connection, and one test talked to a foreign endpoint (status 404). Change: ports come from 12000 to 31999 in random order.

--- a/script/processes.py
+++ b/script/processes.py
@@ -11,21 +11,31 @@
 import urllib.request
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import SystemRandom
 
 HOST = "127.0.0.1"
+LISTEN_PORTS = range(12_000, 32_000)
 SESSION_KEY = "demo-key-not-for-production"
 READY_TIMEOUT_S = 20.0
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((HOST, 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    """Return ports that were free a moment ago.
+
+    They lie below the range from which the kernel takes the ports of outgoing connections, so
+    that none is lost before its program listens.
+    """
+    ports: list[int] = []
+    for port in SystemRandom().sample(LISTEN_PORTS, len(LISTEN_PORTS)):
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise OSError(f"fewer than {count} free ports")
 
 
 @dataclass(kw_only=True)
