--- a/libs/routing/burdockrun_routing/__init__.py
+++ b/libs/routing/burdockrun_routing/__init__.py
@@ -3,6 +3,10 @@
 from burdockrun_routing.const import (
     EVENT_NO_MEMBER_CURRENT,
     EVENT_RETRY_BUDGET_SPENT,
+    METRIC_READ_AT_PRIMARY,
+    METRIC_READ_AT_REPLICA,
+    METRIC_READ_BEHIND,
+    METRIC_RETRY_REFUSED,
 )
 from burdockrun_routing.models import MemberView, ReadChoice, ReadQuery
 from burdockrun_routing.positions import PositionTable
@@ -12,6 +16,10 @@
 __all__ = [
     "EVENT_NO_MEMBER_CURRENT",
     "EVENT_RETRY_BUDGET_SPENT",
+    "METRIC_READ_AT_PRIMARY",
+    "METRIC_READ_AT_REPLICA",
+    "METRIC_READ_BEHIND",
+    "METRIC_RETRY_REFUSED",
     "MemberView",
     "PositionTable",
     "ReadChoice",
--- a/libs/routing/burdockrun_routing/const.py
+++ b/libs/routing/burdockrun_routing/const.py
@@ -16,6 +16,11 @@
 # An answer that was overtaken by a later one arrives within this time.
 REORDER_MS: Final = 250
 
+METRIC_READ_AT_REPLICA: Final = "read.replica"
+METRIC_READ_AT_PRIMARY: Final = "read.primary"
+METRIC_READ_BEHIND: Final = "read.behind"
+METRIC_RETRY_REFUSED: Final = "retry.refused"
+
 EVENT_NO_MEMBER_CURRENT: Final = define_event(
     301, "no_member_current", Level.WARNING, "No reachable member satisfies a read"
 )
