Require own evidence and direct probes before a promotion

Cause: a replica that lost its stream under 30% loss, or verdicts queued during a pause, could lead to a false promotion; a paused or new home judged by old evidence. Change: the home of a replica probes a doubted primary itself; a leader acts only when it suspects too; verdicts and probe answers from before a pause are ignored and the record is read first; planned changes, members and rule `primary` move to a new term; slow platforms get longer timeouts.

--- a/libs/failover/burdockrun_failover/changes.py
+++ b/libs/failover/burdockrun_failover/changes.py
@@ -55,7 +55,7 @@
         return Change(
             reason=move_reason,
             members=active.members,
-            ack_rule=AckRule.MAJORITY,
+            ack_rule=active.ack_rule,
             move_primary=True,
         )
     members = plan_members(active, database)
--- a/libs/failover/burdockrun_failover/choice.py
+++ b/libs/failover/burdockrun_failover/choice.py
@@ -14,7 +14,8 @@
     """Return the member to promote, or None while the fenced set is too small.
 
     Any subset that intersects every acknowledging set of the previous active term will do, so the
-    members to avoid are left out first. Among equal positions the order of the new members decides.
+    members to avoid are left out first. Only a
+    member of the new term is promoted.
     """
     others = {name: at for name, at in fenced.items() if name not in plan.avoid}
     chosen = _choose_greatest(plan, others)
@@ -27,9 +28,15 @@
     if not fenced or not _covers(plan, fenced):
         return None
     greatest = max(fenced.values())
-    equal = [name for name, at in fenced.items() if at == greatest]
-    preferred = [name for name in (plan.target, *plan.members) if name in equal]
-    return next((name for name in preferred if name is not None), equal[0])
+    equal = [name for name in plan.members if fenced.get(name) == greatest]
+    return min(equal, key=lambda name: _rate(plan, name), default=None)
+
+
+def _rate(plan: PromotionPlan, name: str) -> tuple[bool, bool, bool]:
+    """Return the order of preference among members with equal positions; least is best."""
+    member = plan.addresses.get(name)
+    leaving = member is not None and member.leaving
+    return (name in plan.avoid, leaving, name != plan.target)
 
 
 def _covers(plan: PromotionPlan, fenced: Mapping[str, LogPosition]) -> bool:
--- a/libs/failover/burdockrun_failover/const.py
+++ b/libs/failover/burdockrun_failover/const.py
@@ -11,14 +11,21 @@
 PROBE_MIN_MS: Final = 200
 PROBE_MAX_MS: Final = 1_000
 PROBE_SILENT_MS: Final = 100
+# A doubted primary is probed at this interval for some hundred ms, so that lost messages alone do
+# not look like a failure: with 30% loss on both ways, 12 probes in 600 ms all fail with p = 3e-4.
+PROBE_DOUBT_MS: Final = 50
 PROBE_TIMEOUT_MS: Final = 400
 
-# A replica that reports half of the suspicion time is asked more often, so that the verdict does
-# not wait for its next regular probe.
-UPSTREAM_DOUBT_MS: Final = 300
+# A replica that reports this silence is asked more often, and its home probes the primary itself,
+# so that the verdict does not wait for the next regular probe.
+UPSTREAM_DOUBT_MS: Final = 200
 SUSPECT_AFTER_MS: Final = 600
-# Four lost probes in a row: one lost answer after an idle second is no evidence of failure.
-SUSPECT_MIN_PROBES: Final = 4
+# One lost answer after an idle second is no evidence of failure.
+SUSPECT_MIN_PROBES: Final = 6
+# The home of a replica that lost its primary needs less silence of its own probes.
+DIRECT_SILENT_MS: Final = 300
+# A primary that answers homes but reaches no replica for so long can acknowledge nothing.
+UPSTREAM_LOST_MS: Final = 2_000
 STATUS_FRESH_MS: Final = 400
 STUCK_AFTER_MS: Final = 2_000
 # Other homes confirm a stuck primary by their own probes; the 2 s have already passed at its home.
@@ -26,25 +33,39 @@
 STUCK_MIN_ANSWERS: Final = 3
 VERDICT_REPEAT_MS: Final = 100
 VERDICT_FRESH_MS: Final = 500
+# Ticks come at least every 50 ms; a longer gap is a pause even if nobody reported it.
+OWN_GAP_MS: Final = 400
+# What was queued during a pause arrives within this time after it.
+DEAF_MS: Final = 200
 
 LEAD_DELAY_MS: Final = 300
 STALL_AFTER_MS: Final = 1_000
 MAX_STALL_MS: Final = 30_000
 CONTROL_TIMEOUT_MS: Final = 400
 CONTROL_RETRY_MS: Final = 100
+FENCE_RETRY_MAX_MS: Final = 1_000
+# A planned change fences the old primary alone; without an answer for so long it fences all.
+PRIMARY_FENCE_MS: Final = 300
+AVOID_MS: Final = 500
 CATCH_UP_POLL_MS: Final = 10
 # A planned change is given up in favour of the old primary after this time, which keeps the write
 # gap of a change that fails near the goal of 100 ms.
 CATCH_UP_BOUND_MS: Final = 60
 FOLLOW_REPEAT_MS: Final = 200
+CONFIRM_BOUND_MS: Final = 300
 CHANGE_REPEAT_MS: Final = 5_000
+CHANGE_REPEAT_MAX_MS: Final = 60_000
+CHANGE_MAX_TRIES: Final = 5
 CHANGE_MAX_BEHIND: Final = 200
 
 PLATFORM_TIMEOUT_MS: Final = 1_000
+# A platform that is slower than the first timeout must not be mistaken for a dead one for ever.
+PLATFORM_TIMEOUT_MAX_MS: Final = 8_000
 PLATFORM_QUICK_RETRY_MS: Final = 20
 PLATFORM_RETRY_MIN_MS: Final = 250
 PLATFORM_RETRY_MAX_MS: Final = 30_000
 REREAD_MIN_MS: Final = 1_000
+READ_JITTER_MS: Final = 50
 
 # Rule `primary` gives up the second copy of new writes, so only a long trail justifies it.
 PRIMARY_RULE_AFTER_MS: Final = 10_000
--- a/libs/failover/burdockrun_failover/detector.py
+++ b/libs/failover/burdockrun_failover/detector.py
@@ -20,7 +20,8 @@
     """Signs of life of one member.
 
     `silent_since_ms` is when the first probe without an answer since the last sign of life was
-    sent; `idle_since_ms` since when the member has work waiting and finishes nothing.
+    sent; `idle_since_ms` since when the member has work waiting and finishes nothing;
+    `deposed_answers` counts statuses in a row that show another role than primary.
     """
 
     status: MemberStatus | None = None
@@ -29,6 +30,7 @@
     unanswered: int = 0
     idle_since_ms: int | None = None
     idle_answers: int = 0
+    deposed_answers: int = 0
 
 
 class FailureDetector:
@@ -41,6 +43,10 @@
         """Forget all evidence, as after a pause of the process."""
         self._members.clear()
 
+    def forget(self, member: str) -> None:
+        """Forget the evidence about one member."""
+        self._members.pop(member, None)
+
     def find_status(self, member: str) -> MemberStatus | None:
         """Return the last status of a member, however old."""
         evidence = self._members.get(member)
@@ -78,6 +84,8 @@
         self.note_life(member)
         evidence = self._find(member)
         previous, evidence.status, evidence.status_at_ms = evidence.status, status, now_ms
+        deposed = status.role is not MemberRole.PRIMARY
+        evidence.deposed_answers = evidence.deposed_answers + 1 if deposed else 0
         idle = (
             previous is not None
             and status.pending > 0
@@ -106,13 +114,13 @@
         silent_ms = status.upstream_silent_ms or 0
         return status.term < active.term or silent_ms >= UPSTREAM_DOUBT_MS
 
-    def is_silent(self, member: str, now_ms: int) -> bool:
-        """Return whether a member has left enough probes unanswered for long enough."""
+    def is_silent(self, member: str, now_ms: int, limit_ms: int = SUSPECT_AFTER_MS) -> bool:
+        """Return whether a member has left enough probes unanswered for `limit_ms`."""
         evidence = self._members.get(member)
         if evidence is None or evidence.silent_since_ms is None:
             return False
         silent_ms = now_ms - evidence.silent_since_ms
-        return silent_ms >= SUSPECT_AFTER_MS and evidence.unanswered >= SUSPECT_MIN_PROBES
+        return silent_ms >= limit_ms and evidence.unanswered >= SUSPECT_MIN_PROBES
 
     def is_stuck(self, member: str, active: ActiveTerm, now_ms: int, *, confirming: bool) -> bool:
         """Return whether a primary answers probes but does not serve its term."""
@@ -122,19 +130,19 @@
         status = self.find_fresh_status(member, now_ms)
         if status is None:
             return False
-        if status.term == active.term and status.role is not MemberRole.PRIMARY:
+        if status.term == active.term and evidence.deposed_answers >= STUCK_MIN_ANSWERS:
             return True
         if evidence.idle_since_ms is None or evidence.idle_answers < STUCK_MIN_ANSWERS:
             return False
         limit_ms = STUCK_CONFIRM_MS if confirming else STUCK_AFTER_MS
         return now_ms - evidence.idle_since_ms >= limit_ms
 
-    def has_lost_upstream(self, member: str, active: ActiveTerm, now_ms: int) -> bool:
-        """Return whether a replica of the active term reports that its primary is silent."""
+    def measure_upstream_silent_ms(self, member: str, active: ActiveTerm, now_ms: int) -> int:
+        """Return for how long a replica of the active term has not heard its primary."""
         status = self.find_fresh_status(member, now_ms)
         if status is None or status.term != active.term or status.role is not MemberRole.REPLICA:
-            return False
-        return (status.upstream_silent_ms or 0) >= SUSPECT_AFTER_MS
+            return 0
+        return status.upstream_silent_ms or 0
 
     def _find(self, member: str) -> Evidence:
         return self._members.setdefault(member, Evidence())
--- a/libs/failover/burdockrun_failover/follow.py
+++ b/libs/failover/burdockrun_failover/follow.py
@@ -36,7 +36,7 @@
         primary = self._group.addresses.get(active.primary)
         if primary is None:
             return
-        for member in self._group.list_observed():
+        for member in self._group.observed:
             if member.name != active.primary and member.name in active.members:
                 self._tell_if_needed(member, primary, active, now_ms)
 
--- a/libs/failover/burdockrun_failover/group.py
+++ b/libs/failover/burdockrun_failover/group.py
@@ -37,6 +37,7 @@
         self.directory = directory
         self.record: GroupRecord | None = None
         self.addresses: dict[str, Member] = {}
+        self.observed: list[Member] = []
         self.set_database(database)
 
     def set_database(self, database: Database) -> None:
@@ -54,27 +55,20 @@
         """Return whether the record is active, with no later term being prepared."""
         return self.record is not None and self.record.state is GroupState.ACTIVE
 
-    def list_observed(self) -> list[Member]:
-        """Return the members of which this node is home."""
+    def refresh(self) -> None:
+        """Find the members of which this node is home; done once for each tick."""
         names = [member.name for member in self.database.members]
         if self.active is not None:
             names.extend(self.active.members)
         members = [self.addresses[name] for name in dict.fromkeys(names) if name in self.addresses]
-        return [member for member in members if self.directory.is_home(member)]
+        self.observed = [member for member in members if self.directory.is_home(member)]
 
     def find_rank(self, *, primary_first: bool) -> int | None:
         """Return this node's place in the order in which homes take the lead, or None."""
         active = self.active
-        names = (
-            list(active.members)
-            if active is not None
-            else [member.name for member in self.database.members]
-        )
-        if active is not None and active.primary in names:
-            names.remove(active.primary)
+        names = [member.name for member in self.database.members]
+        if active is not None:
+            names = [name for name in active.members if name != active.primary]
             names.insert(0 if primary_first else len(names), active.primary)
-        for rank, name in enumerate(names):
-            member = self.addresses.get(name)
-            if member is not None and self.directory.is_home(member):
-                return rank
-        return None
+        observed = {member.name for member in self.observed}
+        return next((rank for rank, name in enumerate(names) if name in observed), None)
--- /dev/null
+++ b/libs/failover/burdockrun_failover/leading.py
@@ -0,0 +1,129 @@
+"""Leads planned changes: another primary, other members, another acknowledgement rule."""
+
+from collections.abc import Callable
+
+from burdockrun_messages import AckRule, ActiveTerm, MemberStatus, Outbox
+
+from burdockrun_failover.changes import Change, choose_target, count_followers, find_change
+from burdockrun_failover.const import (
+    CHANGE_MAX_TRIES,
+    CHANGE_REPEAT_MAX_MS,
+    CHANGE_REPEAT_MS,
+    RULE_CHANGED,
+    STALL_AFTER_MS,
+)
+from burdockrun_failover.group import Group
+from burdockrun_failover.rule import RuleAdvisor
+from burdockrun_failover.survey import Survey
+
+StartChange = Callable[[Change, str, int], bool]
+
+
+class ChangeLeader:
+    """Decides when a planned change starts at this node.
+
+    The home of the primary leads at once, the homes of the replicas some seconds later in case it
+    does not. All members are asked first, so that a change starts only when it can succeed.
+    `start` gets the change, the member that shall be primary and the time in ms, and returns
+    whether the change was started.
+    """
+
+    def __init__(
+        self, group: Group, advisor: RuleAdvisor, outbox: Outbox, start: StartChange
+    ) -> None:
+        self._group = group
+        self._advisor = advisor
+        self._outbox = outbox
+        self._start = start
+        self._survey: Survey | None = None
+        self._due_since_ms: int | None = None
+        self._next_at_ms = 0
+        self._tries = 0
+        self._requested: str | None = None
+
+    def request(self, reason: str, now_ms: int) -> None:
+        """Ask for another primary; given up after some tries."""
+        self._requested = reason
+        self._tries = 0
+        self._next_at_ms = now_ms
+
+    def clear(self) -> None:
+        """Forget what is under way, as after a pause or with a new record."""
+        self._survey = None
+        self._due_since_ms = None
+
+    def note_active(self, active: ActiveTerm, previous: ActiveTerm | None) -> None:
+        """Note a new active term; a request ends when the primary has changed."""
+        if previous is not None and previous.primary != active.primary:
+            self._requested = None
+            self._tries = 0
+
+    def tick(self, now_ms: int) -> None:
+        """Start the change that is due, if any; called while the record is active."""
+        active = self._group.active
+        if active is None or self._survey is not None or now_ms < self._next_at_ms:
+            return
+        if self._find_change(active) is None:
+            self._due_since_ms = None
+            self._tries = 0
+            return
+        if self._due_since_ms is None:
+            self._due_since_ms = now_ms
+        rank = self._group.find_rank(primary_first=True)
+        if rank is None or now_ms - self._due_since_ms < rank * STALL_AFTER_MS:
+            return
+        self._ask_members(active, now_ms)
+
+    def _ask_members(self, active: ActiveTerm, now_ms: int) -> None:
+        self._tries += 1
+        if self._tries >= CHANGE_MAX_TRIES:
+            self._requested = None
+        doublings = min(self._tries - 1, 8)
+        self._next_at_ms = now_ms + min(CHANGE_REPEAT_MS << doublings, CHANGE_REPEAT_MAX_MS)
+        addresses = self._group.addresses
+        members = [addresses[name] for name in active.members if name in addresses]
+
+        def on_done(statuses: dict[str, MemberStatus], now_ms: int) -> None:
+            if self._survey is survey:
+                self._survey = None
+                self._decide(active, statuses, now_ms)
+
+        survey = Survey(members, self._outbox, on_done)
+        self._survey = survey
+
+    def _find_change(self, active: ActiveTerm) -> Change | None:
+        return find_change(
+            active,
+            self._group.database,
+            requested=self._requested,
+            advised=self._advisor.advise(active.ack_rule),
+        )
+
+    def _decide(self, active: ActiveTerm, statuses: dict[str, MemberStatus], now_ms: int) -> None:
+        change = self._find_change(active)
+        if change is None or active != self._group.active or active.primary not in statuses:
+            return
+        target: str | None = active.primary
+        if change.move_primary:
+            target = choose_target(active, self._group.database, statuses)
+        if target is None or not self._is_justified(change, active, statuses):
+            return
+        if self._start(change, target, now_ms) and change.ack_rule is not active.ack_rule:
+            self._outbox.log(
+                RULE_CHANGED,
+                database=self._group.database.name,
+                rule=change.ack_rule.value,
+                trail_ms=self._advisor.trail_ms,
+            )
+
+    def _is_justified(
+        self, change: Change, active: ActiveTerm, statuses: dict[str, MemberStatus]
+    ) -> bool:
+        """Return whether replicas are late rather than gone, before rule `primary` is entered.
+
+        A primary that no replica follows may be cut off; it must not gain the power to
+        acknowledge alone while the others replace it.
+        """
+        if change.ack_rule is not AckRule.PRIMARY or active.ack_rule is AckRule.PRIMARY:
+            return True
+        return count_followers(active, statuses) + 1 > len(active.members) // 2
--- a/libs/failover/burdockrun_failover/models.py
+++ b/libs/failover/burdockrun_failover/models.py
@@ -1,7 +1,7 @@
 """Data that the modules of failover share."""
 
 from dataclasses import dataclass, field
-from enum import StrEnum
+from enum import Enum, StrEnum, auto
 
 from burdockrun_messages import AckRule, GroupRecord, Member
 
@@ -23,6 +23,18 @@
     OUTRUN = "outrun"
 
 
+class Phase(Enum):
+    """Step that an attempt has reached."""
+
+    CLAIM = auto()
+    FENCE = auto()
+    CATCH_UP = auto()
+    PROMOTE = auto()
+    CONFIRM = auto()
+    ACTIVATE = auto()
+    ENDED = auto()
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PromotionPlan:
     """What one attempt shall reach.
--- a/libs/failover/burdockrun_failover/observer.py
+++ b/libs/failover/burdockrun_failover/observer.py
@@ -15,11 +15,17 @@
 )
 
 from burdockrun_failover.const import (
+    DEAF_MS,
+    DIRECT_SILENT_MS,
     PRIMARY_SUSPECTED,
+    PROBE_DOUBT_MS,
     PROBE_MAX_MS,
     PROBE_SILENT_MS,
     PROBE_TIMEOUT_MS,
+    SUSPECT_AFTER_MS,
     SUSPICION_CLEARED,
+    UPSTREAM_DOUBT_MS,
+    UPSTREAM_LOST_MS,
     VERDICT_REPEAT_MS,
 )
 from burdockrun_failover.detector import FailureDetector
@@ -54,15 +60,31 @@
         self._life_at_ms: dict[str, int] = {}
         self._suspecting: dict[str, int] = {}
         self._generation = 0
+        self._deaf_until_ms = 0
 
-    def clear(self) -> None:
-        """Forget all evidence and ignore the answers to probes that are under way."""
+    def clear(self, now_ms: int) -> None:
+        """Forget all evidence, and ignore what was sent before and arrives only now."""
+        self._deaf_until_ms = now_ms + DEAF_MS
         self._generation += 1
         self.detector.clear()
         self.verdicts.clear()
         self._suspecting.clear()
         self._probe_at_ms.clear()
 
+    def receive_verdict(self, verdict: Verdict, now_ms: int) -> None:
+        """Note the verdict of another home unless it may be from before a pause."""
+        if now_ms >= self._deaf_until_ms:
+            self.verdicts.note(verdict, now_ms)
+
+    def holds_failed(self, active: ActiveTerm, now_ms: int) -> bool:
+        """Return whether this node and the homes of a majority hold the primary for failed.
+
+        A leader acts only when evidence of its own agrees with the verdicts of the others.
+        """
+        if not any(member.name in self._suspecting for member in self._group.observed):
+            return False
+        return self.verdicts.has_majority(active, now_ms)
+
     def note_life(self, member: str, now_ms: int) -> None:
         """Note that a member finished a statement."""
         self._life_at_ms[member] = now_ms
@@ -70,7 +92,8 @@
 
     def tick(self, now_ms: int) -> None:
         """Send the probes and verdicts that are due."""
-        observed = self._group.list_observed()
+        observed = self._group.observed
+        self._forget_others(observed)
         self._budget.set_observed(self._group.database.name, len(observed))
         for member in observed:
             self._probe_if_due(member, now_ms)
@@ -78,26 +101,53 @@
         if active is None or not self._group.is_active:
             return
         accused = bool(self.verdicts.list_failed(active, now_ms))
-        primary = self._group.addresses.get(active.primary)
-        if accused and observed and primary is not None and primary not in observed:
-            self._probe_if_due(primary, now_ms)
+        self._probe_doubted_primary(active, observed, accused=accused, now_ms=now_ms)
         for member in observed:
             if member.name in active.members:
                 self._judge(member.name, active, accused=accused, now_ms=now_ms)
 
-    def _probe_if_due(self, member: Member, now_ms: int) -> None:
+    def _forget_others(self, observed: list[Member]) -> None:
+        """Drop the evidence about members whose home this node no longer is."""
+        names = {member.name for member in observed}
+        for name in [name for name in self._probe_at_ms if name not in names]:
+            active = self._group.active
+            if not observed or active is None or name != active.primary:
+                self.detector.forget(name)
+                del self._probe_at_ms[name]
+                self._suspecting.pop(name, None)
+
+    def _probe_doubted_primary(
+        self, active: ActiveTerm, observed: list[Member], *, accused: bool, now_ms: int
+    ) -> None:
+        """Probe the primary from the homes of its replicas while there is doubt about it."""
+        primary = self._group.addresses.get(active.primary)
+        if primary is None or not observed or primary in observed:
+            return
+        silent_ms = max(
+            self.detector.measure_upstream_silent_ms(member.name, active, now_ms)
+            for member in observed
+        )
+        if accused or silent_ms >= UPSTREAM_DOUBT_MS:
+            self._probe_if_due(primary, now_ms, doubted=True)
+        else:
+            self.detector.note_life(primary.name)
+
+    def _probe_if_due(self, member: Member, now_ms: int, *, doubted: bool = False) -> None:
         due_ms = self._probe_at_ms.setdefault(
             member.name, now_ms + self._rng.randint(0, self._budget.interval_ms // 2)
         )
-        if self.detector.is_unsure(member.name, self._group.active):
+        if doubted or self.detector.is_unsure(member.name, self._group.active):
+            doubted = True
             probed_at_ms = self._probed_at_ms.get(member.name, 0)
-            due_ms = min(due_ms, probed_at_ms + PROBE_SILENT_MS)
+            due_ms = min(due_ms, probed_at_ms + self._find_doubt_interval_ms(member.name))
         elif self._is_busy_primary(member.name, now_ms):
             due_ms = max(due_ms, self._probed_at_ms.get(member.name, 0) + PROBE_MAX_MS)
         if now_ms < due_ms:
             return
         self._probed_at_ms[member.name] = now_ms
         self._probe_at_ms[member.name] = now_ms + self._budget.interval_ms
+        if doubted:
+            self._outbox.wake_at(now_ms + self._find_doubt_interval_ms(member.name))
         self.detector.note_probe(member.name, now_ms)
         self._outbox.count("failover.probes")
         generation = self._generation
@@ -112,6 +162,11 @@
             member, AskStatus(), timeout_ms=PROBE_TIMEOUT_MS, on_reply=on_reply
         )
 
+    def _find_doubt_interval_ms(self, member: str) -> int:
+        active = self._group.active
+        is_primary = active is not None and member == active.primary
+        return PROBE_DOUBT_MS if is_primary else PROBE_SILENT_MS
+
     def _is_busy_primary(self, member: str, now_ms: int) -> bool:
         """Return whether answers to statements already show that the primary lives."""
         active = self._group.active
@@ -147,7 +202,12 @@
             return detector.is_silent(member, now_ms) or detector.is_stuck(
                 member, active, now_ms, confirming=False
             )
-        if detector.has_lost_upstream(member, active, now_ms):
+        lost_ms = detector.measure_upstream_silent_ms(member, active, now_ms)
+        if lost_ms >= UPSTREAM_LOST_MS:
+            return True
+        if lost_ms >= SUSPECT_AFTER_MS and detector.is_silent(
+            active.primary, now_ms, DIRECT_SILENT_MS
+        ):
             return True
         return accused and (
             detector.is_silent(active.primary, now_ms)
--- a/libs/failover/burdockrun_failover/promotion.py
+++ b/libs/failover/burdockrun_failover/promotion.py
@@ -1,56 +1,41 @@
 """One attempt to put a new term in force: claim, fence, choose, promote, activate."""
 
 from collections.abc import Callable
-from enum import Enum, auto
 
 from burdockrun_base import LogEvent
 from burdockrun_messages import (
     AckRule,
     ActiveTerm,
-    AskStatus,
-    ControlOperation,
-    ControlReply,
-    Fence,
-    Follow,
     GroupRecord,
     LogPosition,
     Member,
     MemberRole,
     MemberStatus,
     Outbox,
-    Promote,
 )
 
+from burdockrun_failover.calls import TermCalls
 from burdockrun_failover.choice import choose_member
 from burdockrun_failover.const import (
+    AVOID_MS,
     CATCH_UP_BOUND_MS,
     CATCH_UP_POLL_MS,
     CHANGE_ABANDONED,
+    CONFIRM_BOUND_MS,
     CONTROL_RETRY_MS,
-    CONTROL_TIMEOUT_MS,
+    FENCE_RETRY_MAX_MS,
     MEMBER_CHOSEN,
+    PRIMARY_FENCE_MS,
     PROMOTION_STARTED,
     STALL_AFTER_MS,
 )
-from burdockrun_failover.models import PromotionEnd, PromotionKind, PromotionPlan
+from burdockrun_failover.models import Phase, PromotionEnd, PromotionKind, PromotionPlan
 from burdockrun_failover.records import make_active_record, make_fencing_record
 from burdockrun_failover.store import RecordStore
 
 OnEnd = Callable[[PromotionEnd, GroupRecord | None, int], None]
 
 
-class Phase(Enum):
-    """Step that an attempt has reached."""
-
-    CLAIM = auto()
-    FENCE = auto()
-    CATCH_UP = auto()
-    PROMOTE = auto()
-    CONFIRM = auto()
-    ACTIVATE = auto()
-    ENDED = auto()
-
-
 class Promotion:
     """Attempt of one promoter for one term; it promotes at most one member.
 
@@ -64,20 +49,22 @@
         *,
         outbox: Outbox,
         store: RecordStore,
-        on_claimed: Callable[[GroupRecord, int], None],
+        on_claimed: Callable[[GroupRecord, int], object],
         on_end: OnEnd,
     ) -> None:
         self.plan = plan
         self.phase = Phase.CLAIM
         self.seen_term = plan.term
+        self.started_ms = 0
         self._outbox = outbox
         self._store = store
+        self._calls = TermCalls(plan, outbox, self._receive)
+        self._previous = plan.known.active if plan.known is not None else None
         self._on_claimed = on_claimed
         self._on_end = on_end
         self._claimed: GroupRecord | None = None
         self._fenced: dict[str, LogPosition] = {}
         self._chosen: Member | None = None
-        self._final: LogPosition | None = None
         self._start_index = 0
         self._phase_at_ms = 0
         self._repeat_at_ms = 0
@@ -91,7 +78,7 @@
             reason=self.plan.reason,
             promoter=self.plan.promoter,
         )
-        self._phase_at_ms = now_ms
+        self.started_ms = now_ms
         wanted = make_fencing_record(
             self.plan.known,
             database=self.plan.database,
@@ -112,7 +99,8 @@
         elif self.phase is Phase.CATCH_UP:
             self._poll_target(now_ms)
         elif self.phase in (Phase.PROMOTE, Phase.CONFIRM):
-            if now_ms - self._phase_at_ms >= STALL_AFTER_MS:
+            bound_ms = STALL_AFTER_MS if self.phase is Phase.PROMOTE else CONFIRM_BOUND_MS
+            if now_ms - self._phase_at_ms >= bound_ms:
                 self._end(PromotionEnd.STALLED, self._claimed, now_ms)
                 return
             self._repeat_promote(now_ms)
@@ -160,52 +148,51 @@
         self._outbox.wake_at(self._repeat_at_ms)
 
     def _fence_missing(self, now_ms: int) -> None:
-        for name in self._list_to_fence(now_ms):
-            if name not in self._fenced and name in self.plan.addresses:
-                self._call(self.plan.addresses[name], Fence(term=self.plan.term))
-        self._wait(now_ms, CONTROL_RETRY_MS)
+        self._calls.fence(name for name in self._list_to_fence(now_ms) if name not in self._fenced)
+        waited_ms = now_ms - self._phase_at_ms
+        self._wait(now_ms, max(CONTROL_RETRY_MS, min(FENCE_RETRY_MAX_MS, waited_ms // 4)))
 
     def _list_to_fence(self, now_ms: int) -> tuple[str, ...]:
-        active = self.plan.known.active if self.plan.known is not None else None
-        if active is None:
+        if self._previous is None:
             return self.plan.members
-        patient = now_ms - self._phase_at_ms < 3 * CONTROL_RETRY_MS
-        if self.plan.kind is PromotionKind.PLANNED and patient:
-            return (active.primary,)
-        return tuple(dict.fromkeys((*active.members, *self.plan.members)))
+        early = now_ms - self._phase_at_ms < PRIMARY_FENCE_MS
+        if self.plan.kind is PromotionKind.PLANNED and early:
+            return (self._previous.primary,)
+        return tuple(dict.fromkeys((*self._previous.members, *self.plan.members)))
 
     def _evaluate(self, now_ms: int) -> None:
-        active = self.plan.known.active if self.plan.known is not None else None
-        target = self.plan.target
-        if (
-            self.plan.kind is PromotionKind.PLANNED
-            and active is not None
-            and target is not None
-            and target != active.primary
-            and active.primary in self._fenced
-        ):
-            self._final = self._fenced[active.primary]
+        if self._moves_primary():
             self._enter(Phase.CATCH_UP, now_ms)
             self._poll_target(now_ms)
             return
-        patient = now_ms - self._phase_at_ms < STALL_AFTER_MS // 2
-        chosen = choose_member(self.plan, self._fenced, accept_avoided=not patient)
+        waited_ms = now_ms - self._phase_at_ms
+        chosen = choose_member(self.plan, self._fenced, accept_avoided=waited_ms >= AVOID_MS)
         if chosen is not None:
             self._promote(chosen, now_ms)
+        elif self.plan.kind is PromotionKind.PLANNED and waited_ms >= STALL_AFTER_MS:
+            self._end(PromotionEnd.STALLED, self._claimed, now_ms)
+
+    def _moves_primary(self) -> bool:
+        """Return whether the old primary is fenced and another one shall take its place."""
+        previous = self._previous
+        if previous is None or self.plan.kind is not PromotionKind.PLANNED:
+            return False
+        return previous.primary in self._fenced and self.plan.target != previous.primary
 
     def _poll_target(self, now_ms: int) -> None:
-        target = self.plan.addresses.get(self.plan.target or "")
+        target = self.plan.target
         if target is None or now_ms - self._phase_at_ms >= CATCH_UP_BOUND_MS:
             self._abandon(now_ms)
             return
-        self._call(target, AskStatus())
+        self._calls.ask(target)
         self._wait(now_ms, CATCH_UP_POLL_MS)
 
     def _abandon(self, now_ms: int) -> None:
         chosen = choose_member(self.plan, self._fenced, accept_avoided=True)
         self._log(CHANGE_ABANDONED, target=self.plan.target, chosen=chosen)
+        self._outbox.count("failover.changes_abandoned")
         if chosen is None:
-            self._enter(Phase.FENCE, now_ms)
+            self._end(PromotionEnd.STALLED, self._claimed, now_ms)
             return
         self._promote(chosen, now_ms)
 
@@ -218,81 +205,68 @@
     def _repeat_promote(self, now_ms: int) -> None:
         if self._chosen is None:
             return
-        if self.phase is Phase.PROMOTE:
-            others = tuple(name for name in self.plan.members if name != self._chosen.name)
-            self._call(self._chosen, Promote(term=self.plan.term, members=others))
+        name = self._chosen.name
+        if self.phase is Phase.CONFIRM:
+            self._calls.follow(self._chosen)
+            self._calls.ask(name)
         else:
-            self._order_follow()
-            self._call(self._chosen, AskStatus())
+            if name not in self._fenced:
+                self._calls.fence([name])
+            self._calls.promote(name)
         self._wait(now_ms, CONTROL_RETRY_MS)
 
-    def _call(self, member: Member, operation: ControlOperation) -> None:
-        def on_reply(reply: ControlReply | None, now_ms: int) -> None:
-            if isinstance(reply, MemberStatus) and not self._paused:
-                self._receive(member.name, reply, now_ms)
-
-        self._outbox.call_control(
-            member, operation, timeout_ms=CONTROL_TIMEOUT_MS, on_reply=on_reply
-        )
-
     def _receive(self, member: str, status: MemberStatus, now_ms: int) -> None:
-        if self.phase in (Phase.CLAIM, Phase.ACTIVATE, Phase.ENDED):
+        if self._paused or self.phase in (Phase.CLAIM, Phase.ACTIVATE, Phase.ENDED):
             return
         if status.term > self.plan.term:
             self.seen_term = status.term
             self._end(PromotionEnd.OUTRUN, self._claimed, now_ms)
             return
+        newly_fenced = False
         if status.term == self.plan.term and status.role is MemberRole.FENCED:
+            newly_fenced = member not in self._fenced
             self._fenced.setdefault(member, status.position)
         if self.phase is Phase.FENCE:
             self._evaluate(now_ms)
         elif self.phase is Phase.CATCH_UP:
             self._check_target(member, status, now_ms)
         elif self._chosen is not None and member == self._chosen.name:
-            self._check_promoted(status, now_ms)
+            self._check_promoted(status, now_ms, newly_fenced=newly_fenced)
 
     def _check_target(self, member: str, status: MemberStatus, now_ms: int) -> None:
-        if member != self.plan.target or self._final is None:
-            return
-        if status.position < self._final:
+        """Promote the target once it has the whole log of the fenced primary.
+
+        Its position cannot shrink before it is fenced itself, so fence and promotion are sent
+        together, which saves one round trip of the write gap.
+        """
+        previous = self._previous
+        if previous is None or member != self.plan.target:
             return
-        if member in self._fenced:
+        if status.position >= self._fenced[previous.primary]:
             self._promote(member, now_ms)
-            return
-        self._call(self.plan.addresses[member], Fence(term=self.plan.term))
 
-    def _check_promoted(self, status: MemberStatus, now_ms: int) -> None:
+    def _check_promoted(self, status: MemberStatus, now_ms: int, *, newly_fenced: bool) -> None:
         if status.term != self.plan.term or status.role is not MemberRole.PRIMARY:
+            if newly_fenced and self.phase is Phase.PROMOTE:
+                self._repeat_promote(now_ms)
             return
-        if self.phase is Phase.PROMOTE:
+        if self._chosen is not None and self.phase is Phase.PROMOTE:
             self._start_index = status.position.index
-            self._order_follow()
+            self._calls.follow(self._chosen)
             if self._needs_confirmation():
                 self._enter(Phase.CONFIRM, now_ms)
+                self._wait(now_ms, CATCH_UP_POLL_MS)
         if self.phase is Phase.CONFIRM and status.confirmed_index < self._start_index:
             return
         self._activate(now_ms)
 
     def _needs_confirmation(self) -> bool:
         """Return whether the acknowledging sets change, so that the new ones must hold the log."""
-        active = self.plan.known.active if self.plan.known is not None else None
-        if active is None or self.plan.ack_rule is AckRule.PRIMARY:
+        previous = self._previous
+        if previous is None or self.plan.ack_rule is AckRule.PRIMARY:
             return False
-        same_members = set(active.members) == set(self.plan.members)
-        return active.ack_rule is AckRule.PRIMARY or not same_members
-
-    def _order_follow(self) -> None:
-        if self._chosen is None:
-            return
-        order = Follow(
-            term=self.plan.term,
-            primary=self._chosen.name,
-            host=self._chosen.host,
-            control_port=self._chosen.control_port,
-        )
-        for name in self.plan.members:
-            if name != self._chosen.name and name in self.plan.addresses:
-                self._call(self.plan.addresses[name], order)
+        same_members = set(previous.members) == set(self.plan.members)
+        return previous.ack_rule is AckRule.PRIMARY or not same_members
 
     def _activate(self, now_ms: int) -> None:
         if self._claimed is None or self._chosen is None:
--- a/libs/failover/burdockrun_failover/records.py
+++ b/libs/failover/burdockrun_failover/records.py
@@ -16,7 +16,12 @@
 )
 from result import Err, Ok, Result
 
-from burdockrun_failover.const import MAX_TERM_STARTS, RECORD_KEY_PREFIX
+from burdockrun_failover.const import (
+    MAX_STALL_MS,
+    MAX_TERM_STARTS,
+    RECORD_KEY_PREFIX,
+    STALL_AFTER_MS,
+)
 
 
 def format_record_key(database: str) -> str:
@@ -99,6 +104,13 @@
     return LogPosition(term=term, index=0)
 
 
+def find_stall_ms(record: GroupRecord) -> int:
+    """Return the time in ms after which an attempt is replaced; it doubles with each attempt."""
+    base_term = record.active.term if record.active is not None else 0
+    doublings = min(max(record.term - base_term - 1, 0), 5)
+    return min(STALL_AFTER_MS << doublings, MAX_STALL_MS)
+
+
 def covers_acknowledged(
     previous: ActiveTerm, start: LogPosition, fenced: Mapping[str, LogPosition]
 ) -> bool:
--- a/libs/failover/burdockrun_failover/store.py
+++ b/libs/failover/burdockrun_failover/store.py
@@ -20,6 +20,7 @@
     PLATFORM_RETRIED,
     PLATFORM_RETRY_MAX_MS,
     PLATFORM_RETRY_MIN_MS,
+    PLATFORM_TIMEOUT_MAX_MS,
     PLATFORM_TIMEOUT_MS,
     RECORD_INVALID,
 )
@@ -35,22 +36,22 @@
 
 
 class Backoff:
-    """Exponential backoff with full jitter and a quick first retry."""
+    """Exponential backoff with full jitter and a quick first retry; counts `failures` in a row."""
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
-        self._failures = 0
+        self.failures = 0
 
     def reset(self) -> None:
         """Forget past failures."""
-        self._failures = 0
+        self.failures = 0
 
     def next_delay_ms(self) -> int:
         """Count one failure and return the time to wait in ms."""
-        self._failures += 1
-        if self._failures == 1:
+        self.failures += 1
+        if self.failures == 1:
             return PLATFORM_QUICK_RETRY_MS
-        ceiling = min(PLATFORM_RETRY_MAX_MS, PLATFORM_RETRY_MIN_MS << min(self._failures - 2, 10))
+        ceiling = min(PLATFORM_RETRY_MAX_MS, PLATFORM_RETRY_MIN_MS << min(self.failures - 2, 10))
         return self._rng.randint(PLATFORM_QUICK_RETRY_MS, ceiling)
 
 
@@ -149,7 +150,8 @@
                 return
             finish(decoded.ok_value, now_ms)
 
-        self._outbox.call_platform(operation, timeout_ms=PLATFORM_TIMEOUT_MS, on_reply=on_reply)
+        timeout_ms = min(PLATFORM_TIMEOUT_MS << self._backoff.failures, PLATFORM_TIMEOUT_MAX_MS)
+        self._outbox.call_platform(operation, timeout_ms=timeout_ms, on_reply=on_reply)
 
     def _retry_later(self, reason: str, now_ms: int) -> None:
         delay_ms = self._backoff.next_delay_ms()
--- a/tests/failover/common.py
+++ b/tests/failover/common.py
@@ -104,6 +104,7 @@
         self.stuck = False
         self.ships_when_fenced = True
         self.pull_ms = 0
+        self.pull_limit = 10_000
         self.term = 0
         self.role = MemberRole.REPLICA
         self.log: list[tuple[int, str]] = []
@@ -188,6 +189,21 @@
         self.completed += 1
         return len(self.log)
 
+    def restart(self) -> None:
+        """Come back after a crash with log and term, but without the role of a primary."""
+        self.alive = True
+        if self.role is MemberRole.PRIMARY:
+            self.role = MemberRole.FENCED
+        self.pull()
+
+    def hurry(self) -> None:
+        """Receive entries at full speed again."""
+        self.pull_ms, self.pull_limit = 0, 10_000
+
+    def unblock(self) -> None:
+        """Finish statements again."""
+        self.stuck, self.pending = False, 0
+
     def answer_waiting(self) -> None:
         """Answer the waits that are confirmed, ended or expired."""
         waiting, self.waiting = self.waiting, []
@@ -232,13 +248,14 @@
         if start == len(self.log) and self.world.now_ms < until_ms:
             self.world.after(2, lambda: self.serve_pull(replica, term, at, number, until_ms))
             return
-        entries = self.log[start:]
+        entries = self.log[start : start + replica.pull_limit]
 
         def arrive() -> None:
             if replica.term != term or replica.role is not MemberRole.REPLICA:
                 return
             replica.heard_ms = self.world.now_ms
             if replica.pulls == number:
+                replica.pulls += 1
                 replica.log[start:] = entries
                 self.world.after(replica.pull_ms, replica.pull)
 
@@ -333,6 +350,7 @@
     seed: int
     domains: tuple[str, ...] = BAYERN
     size: int = 3
+    spare: int = 0
     now_ms: int = 0
     acknowledged: list[Acknowledged] = field(default_factory=list)
     primaries: dict[int, str] = field(default_factory=dict)
@@ -343,8 +361,10 @@
         self._number = 0
         self.links = Links(self.fork_rng(), ONE_WAY_MS.get(self.domains, 5))
         self.store = FakeStore()
-        listed = tuple(self.make_member(number) for number in range(self.size))
-        self.database = Database(name=DATABASE, members=listed, connections=16, slots=2)
+        listed = tuple(self.make_member(number) for number in range(self.size + self.spare))
+        self.database = Database(
+            name=DATABASE, members=listed[: self.size], connections=16, slots=2
+        )
         self.members = {member.name: FakeMember(self, member) for member in listed}
         self.nodes: list[FakeNode] = []
         self.homes: dict[str, FakeNode] = {}
@@ -462,6 +482,7 @@
             if confirmed:
                 done = Acknowledged(text=text, term=active.term, at_ms=now_ms)
                 self.acknowledged.append(done)
+                self.check_kept(done)
 
         def confirm(index: int) -> None:
             if active.ack_rule == "primary":
@@ -489,6 +510,12 @@
         assert active is not None
         return active
 
+    def check_kept(self, done: Acknowledged) -> None:
+        """Check that an acknowledged write is in the log of the active primary."""
+        log = self.members[self.active.primary].log
+        entries = reversed(log) if self.active.term == done.term else log
+        assert any(text == done.text for _, text in entries), f"{done} is not in {self.active}"
+
     def list_missing(self) -> list[str]:
         """Return the acknowledged writes that the log of the present primary lacks."""
         log = {text for _, text in self.members[self.active.primary].log}
