Start a change of members only when a majority is nearly current

Change: `is_justified` asks for a majority of the new members within `CHANGE_MAX_BEHIND`; the members of the test world drop only what follows the common prefix, as the protocol requires.

--- a/libs/failover/burdockrun_failover/changes.py
+++ b/libs/failover/burdockrun_failover/changes.py
@@ -12,6 +12,7 @@
 )
 
 from burdockrun_failover.const import CHANGE_MAX_BEHIND
+from burdockrun_failover.records import count_majority
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -87,12 +88,29 @@
     return best[1] if best is not None else None
 
 
-def count_followers(active: ActiveTerm, statuses: dict[str, MemberStatus]) -> int:
-    """Return how many replicas answer and follow in the active term."""
-    return sum(
-        1
+def is_justified(change: Change, active: ActiveTerm, statuses: dict[str, MemberStatus]) -> bool:
+    """Return whether the members are in a state in which a change is safe and can succeed.
+
+    Rule `primary` is entered only while a majority follows: a primary that no replica follows may
+    be cut off and must not gain the power to acknowledge alone while the others replace it. Other
+    members or rule `majority` need a majority that is nearly current, since it must hold the
+    whole log before the new term is in force.
+    """
+    if change.move_primary:
+        return True
+    followers = [
+        status
         for name, status in statuses.items()
         if name != active.primary
+        and name in change.members
         and status.term == active.term
         and status.role is MemberRole.REPLICA
-    )
+    ]
+    if change.ack_rule is AckRule.MAJORITY:
+        primary_index = statuses[active.primary].position.index
+        followers = [
+            status
+            for status in followers
+            if primary_index - status.position.index <= CHANGE_MAX_BEHIND
+        ]
+    return len(followers) + 1 >= count_majority(len(change.members))
--- a/libs/failover/burdockrun_failover/leading.py
+++ b/libs/failover/burdockrun_failover/leading.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from burdockrun_messages import AckRule, ActiveTerm, MemberStatus, Outbox
+from burdockrun_messages import ActiveTerm, MemberStatus, Outbox
 
-from burdockrun_failover.changes import Change, choose_target, count_followers, find_change
+from burdockrun_failover.changes import Change, choose_target, find_change, is_justified
 from burdockrun_failover.const import (
     CHANGE_MAX_TRIES,
     CHANGE_REPEAT_MAX_MS,
@@ -106,7 +106,7 @@
         target: str | None = active.primary
         if change.move_primary:
             target = choose_target(active, self._group.database, statuses)
-        if target is None or not self._is_justified(change, active, statuses):
+        if target is None or not is_justified(change, active, statuses):
             return
         if self._start(change, target, now_ms) and change.ack_rule is not active.ack_rule:
             self._outbox.log(
@@ -115,15 +115,3 @@
                 rule=change.ack_rule.value,
                 trail_ms=self._advisor.trail_ms,
             )
-
-    def _is_justified(
-        self, change: Change, active: ActiveTerm, statuses: dict[str, MemberStatus]
-    ) -> bool:
-        """Return whether replicas are late rather than gone, before rule `primary` is entered.
-
-        A primary that no replica follows may be cut off; it must not gain the power to
-        acknowledge alone while the others replace it.
-        """
-        if change.ack_rule is not AckRule.PRIMARY or active.ack_rule is AckRule.PRIMARY:
-            return True
-        return count_followers(active, statuses) + 1 > len(active.members) // 2
--- a/tests/failover/common.py
+++ b/tests/failover/common.py
@@ -230,6 +230,14 @@
         self.world.send(self.place, primary.place, arrive)
         self.world.after(100, lambda: self.pull() if self.pulls == number else None)
 
+    def find_common(self, replica: "FakeMember") -> int:
+        """Return the length of the common prefix; a replica drops only what follows it."""
+        pairs = zip(self.log, replica.log, strict=False)
+        return next(
+            (index for index, (mine, other) in enumerate(pairs) if mine != other),
+            min(len(self.log), len(replica.log)),
+        )
+
     def serve_pull(
         self, replica: "FakeMember", term: int, at: LogPosition, number: int, until_ms: int
     ) -> None:
@@ -244,7 +252,7 @@
             name = replica.member.name
             self.matched[name] = max(self.matched.get(name, 0), at.index)
             self.answer_waiting()
-        start = at.index if common else 0
+        start = at.index if common else self.find_common(replica)
         if start == len(self.log) and self.world.now_ms < until_ms:
             self.world.after(2, lambda: self.serve_pull(replica, term, at, number, until_ms))
             return
