--- a/libs/fleet/burdockrun_fleet/agent.py
+++ b/libs/fleet/burdockrun_fleet/agent.py
@@ -9,7 +9,6 @@
     Database,
     Digest,
     GroupRecord,
-    KeyEntry,
     Member,
     NodeInfo,
     NodeState,
@@ -22,10 +21,7 @@
     Roster,
     RosterPush,
     SnapshotPush,
-    TermsPull,
     TermsPush,
-    TicketRecord,
-    TicketsPull,
     TicketsPush,
 )
 
@@ -34,27 +30,24 @@
 from burdockrun_fleet.campaign import Campaign
 from burdockrun_fleet.const import (
     AUDIT_FLUSH_MS,
-    AUDIT_PUSH_ENTRIES,
     MEMBER_IN,
     MEMBER_OUT,
     ROSTER_CHANGED,
 )
 from burdockrun_fleet.coordinator import Parts
 from burdockrun_fleet.evidence import Evidence
-from burdockrun_fleet.loader import read_records, read_ticket
 from burdockrun_fleet.membership import Membership
 from burdockrun_fleet.models import SpreadOptions, TicketFormat
 from burdockrun_fleet.orphan import OrphanLoader
+from burdockrun_fleet.placement import Placement
 from burdockrun_fleet.records import RecordTable
-from burdockrun_fleet.roles import Role, RoleKeeper
-from burdockrun_fleet.rosters import RosterTable, shorten
+from burdockrun_fleet.roles import RoleKeeper
+from burdockrun_fleet.rosters import RosterTable
+from burdockrun_fleet.spreading import Spreading
 from burdockrun_fleet.tickets import TicketFeed
 from burdockrun_fleet.vms import VmView
 from burdockrun_fleet.witnesses import WitnessRounds
 
-# A burst of tickets is not pushed on one by one; digests make the others pull it.
-_PUSH_ON_LIMIT = 4
-
 
 class FleetAgent:
     """Membership, homes, tickets, terms and audit trail of one node; also its `Directory`.
@@ -79,7 +72,6 @@
         self.on_records: Callable[[Sequence[GroupRecord], int], None] | None = None
         self._seeds = tuple(seeds)
         self._outbox = outbox
-        self.options = options or SpreadOptions()
         self._wall_offset_ms = wall_offset_ms
         self._port = PlatformPort(outbox)
         self._feed = TicketFeed(ticket_format, outbox)
@@ -93,7 +85,9 @@
         self._vms = VmView(node)
         self._trail = AuditTrail(node, outbox)
         self._membership = Membership(node, outbox, rng, self._build_digest, self._peer_changed)
-        self._membership.on_ack = self._note_ack
+        self._membership.on_ack = lambda ack, sent_ms, now_ms: self._evidence.note_ack(
+            ack, sent_ms, self._rosters.rosters
+        )
         parts = Parts(
             node=node,
             outbox=outbox,
@@ -106,13 +100,26 @@
             vms=self._vms,
             trail=self._trail,
         )
+        self._placement = Placement(node, self._roles, self._membership)
+        self._spreading = Spreading(
+            self._membership, outbox, self._feed, self._records, self._rosters
+        )
+        self.options = options or SpreadOptions()
         self._campaign = Campaign(parts, self._membership)
-        self._campaign.on_tickets = self._take_ticket_entries
-        self._campaign.on_groups = self._take_group_entries
-        self._orphan = OrphanLoader(parts, self._membership, self._take_ticket_entries)
+        self._campaign.on_tickets = self._spreading.take_ticket_entries
+        self._campaign.on_groups = self._spreading.take_group_entries
+        self._orphan = OrphanLoader(parts, self._membership, self._spreading.take_ticket_entries)
         self._witnesses = WitnessRounds(parts, self._membership)
         self._next_audit_ms = 0
-        self._now_ms = 0
+
+    @property
+    def options(self) -> SpreadOptions:
+        """Return how news spreads."""
+        return self._spreading.options
+
+    @options.setter
+    def options(self, options: SpreadOptions) -> None:
+        self._spreading.options = options
 
     @property
     def configuration(self) -> Configuration:
@@ -131,7 +138,6 @@
 
     def start(self, now_ms: int) -> None:
         """Begin to look for the other nodes."""
-        self._now_ms = now_ms
         self._evidence.start(now_ms)
         self._membership.start(self._seeds, now_ms)
         self._campaign.start(now_ms)
@@ -140,7 +146,6 @@
 
     def tick(self, now_ms: int) -> None:
         """Do what is due."""
-        self._now_ms = now_ms
         self._membership.tick(now_ms)
         self._witnesses.tick(now_ms)
         self._campaign.tick(now_ms, now_ms + self._wall_offset_ms)
@@ -152,7 +157,6 @@
 
     def receive(self, peer: str, message: PeerMessage, now_ms: int) -> None:
         """Handle a peer message that is neither a forward nor a verdict."""
-        self._now_ms = now_ms
         match message:
             case Ping():
                 self._membership.receive_ping(message, now_ms)
@@ -163,11 +167,11 @@
             case PingRequest():
                 self._membership.receive_request(peer, message, now_ms)
             case TicketsPush():
-                self._take_tickets(message.tickets, peer, now_ms)
+                self._spreading.take_tickets(message.tickets, peer, now_ms)
             case SnapshotPush():
                 self._feed.receive_shard(message, now_ms)
             case TermsPush():
-                self._take_records(message.records, peer, now_ms)
+                self._spreading.take_records(message.records, peer, now_ms)
             case RosterPush():
                 for roster in message.rosters:
                     self._rosters.learn(roster, now_ms)
@@ -185,31 +189,19 @@
 
     def pause(self, gap_ms: int, now_ms: int) -> None:
         """Take account of a pause of the process: missed answers mean nothing."""
-        self._now_ms = now_ms
-        self._membership.pause()
+        self._membership.pause(now_ms)
 
     def find_home(self, member: Member) -> NodeInfo | None:
         """Return the node to which requests for a member go."""
-        home, standby = self._roles.homes.find(member)
-        if home is None:
-            return standby
-        if home.node == self.node.node and self._roles.held_role(member) is not Role.HOME:
-            return standby or home
-        if standby is None or self._membership.is_alive(home.node):
-            return home
-        return standby if self._membership.is_alive(standby.node) else home
+        return self._placement.find_home(member)
 
     def find_standby(self, member: Member) -> NodeInfo | None:
         """Return the standby of a member."""
-        return self._roles.homes.find(member)[1]
+        return self._placement.find_standby(member)
 
     def is_home(self, member: Member) -> bool:
-        """Return whether this node serves a member: as home, or as standby of a lost home."""
-        role = self._roles.held_role(member)
-        if role is Role.STANDBY:
-            home, _ = self._roles.homes.find(member)
-            return home is None or not self._membership.is_alive(home.node)
-        return role is Role.HOME
+        """Return whether this node serves a member: as home, or as standby of a dead home."""
+        return self._placement.is_home(member)
 
     def list_nodes(self) -> Sequence[NodeInfo]:
         """Return the live nodes, with this one."""
@@ -233,7 +225,7 @@
 
     def share_record(self, record: GroupRecord, now_ms: int) -> None:
         """Learn a group record from this node itself and spread it."""
-        self._take_records((record,), "", now_ms)
+        self._spreading.take_records((record,), "", now_ms)
 
     def audit(self, kind: str, now_ms: int, **fields: object) -> None:
         """Record an event in the audit trail."""
@@ -255,9 +247,6 @@
             coordinator=self._campaign.coordinator,
         )
 
-    def _note_ack(self, ack: PingAck, sent_ms: int, now_ms: int) -> None:
-        self._evidence.note_ack(ack, sent_ms, self._rosters.rosters)
-
     def _compare(self, sender: NodeInfo, digest: Digest, now_ms: int) -> None:
         peer = self._membership.peers.get(sender.node)
         if peer is None:
@@ -265,44 +254,15 @@
         peer.ticket = digest.ticket
         peer.roster_epochs = digest.roster_epochs
         self._campaign.note_digest(sender, digest, now_ms)
-        if not self.options.digest_pull:
-            return
-        self._feed.pull(sender, digest.ticket, now_ms)
-        self._rosters.answer_digest(sender, digest.roster_epochs)
-        self._records.compare(sender, digest.terms_hash, now_ms)
+        self._spreading.compare(sender, digest, now_ms)
 
     def _receive_other(self, peer: str, message: PeerMessage, now_ms: int) -> None:
         if isinstance(message, AuditPush):
             self._trail.add(message.entries)
             return
         info = self._membership.find(peer)
-        if info is None:
-            return
-        if isinstance(message, TicketsPull):
-            self._feed.answer_pull(info, message, now_ms)
-        elif isinstance(message, TermsPull):
-            self._records.answer_pull(info, message, now_ms)
-
-    def _take_ticket_entries(self, entries: Sequence[KeyEntry], now_ms: int) -> None:
-        tickets = [ticket for entry in entries if (ticket := read_ticket(entry)) is not None]
-        self._take_tickets(tickets, "", now_ms)
-
-    def _take_tickets(self, tickets: Sequence[TicketRecord], peer: str, now_ms: int) -> None:
-        applied = self._feed.receive(tickets, now_ms)
-        if applied and len(applied) <= _PUSH_ON_LIMIT:
-            self._push(TicketsPush(tickets=tuple(applied)), peer)
-
-    def _take_group_entries(self, entries: Sequence[KeyEntry], now_ms: int) -> None:
-        self._take_records(read_records(entries, self._outbox), "", now_ms)
-
-    def _take_records(self, records: Sequence[GroupRecord], peer: str, now_ms: int) -> None:
-        newer = self._records.learn(records, now_ms)
-        if newer and len(newer) <= _PUSH_ON_LIMIT:
-            self._push(TermsPush(records=tuple(newer)), peer)
-
-    def _push(self, message: PeerMessage, without: str) -> None:
-        for info in self._membership.choose(self.options.fanout, without=without):
-            self._outbox.send_peer(info, message)
+        if info is not None:
+            self._spreading.answer_pull(info, message, now_ms)
 
     def _configured(self, configuration: Configuration, now_ms: int) -> None:
         services = configuration.services.values()
@@ -324,8 +284,7 @@
         if new.domain != self.node.domain:
             return
         self._outbox.log(ROSTER_CHANGED, domain=new.domain, epoch=new.epoch, nodes=len(new.nodes))
-        short = shorten(new, new.previous or new.epoch)
-        self._push(RosterPush(rosters=(short,)), "")
+        self._spreading.push_roster(new)
 
     def _peer_changed(self, info: NodeInfo, state: NodeState, now_ms: int) -> None:
         event = MEMBER_IN if state is NodeState.ALIVE else MEMBER_OUT
@@ -334,10 +293,8 @@
             self.audit(event.name, now_ms, node=info.node, state=state.value)
 
     def _pass_audit_on(self, now_ms: int) -> None:
-        if not len(self._trail) or self._campaign.is_coordinator(self.node.domain, now_ms):
+        if self._campaign.is_coordinator(self.node.domain, now_ms):
             return
         coordinator = self._membership.find(self._campaign.coordinator)
-        if coordinator is None or coordinator.node == self.node.node:
-            return
-        entries = tuple(self._trail.take(AUDIT_PUSH_ENTRIES))
-        self._outbox.send_peer(coordinator, AuditPush(entries=entries))
+        if coordinator is not None:
+            self._trail.pass_on(coordinator)
--- a/libs/fleet/burdockrun_fleet/audit.py
+++ b/libs/fleet/burdockrun_fleet/audit.py
@@ -4,9 +4,15 @@
 from collections import deque
 from collections.abc import Iterable
 
-from burdockrun_messages import AuditEntry, NodeInfo, Outbox
+from burdockrun_messages import AuditEntry, AuditPush, NodeInfo, Outbox
 
-from burdockrun_fleet.const import AUDIT_BATCH_BYTES, AUDIT_DROPPED, AUDIT_QUEUE, AUDIT_RECORDED
+from burdockrun_fleet.const import (
+    AUDIT_BATCH_BYTES,
+    AUDIT_DROPPED,
+    AUDIT_PUSH_ENTRIES,
+    AUDIT_QUEUE,
+    AUDIT_RECORDED,
+)
 
 
 class AuditTrail:
@@ -58,6 +64,12 @@
             taken.append(_shorten(self._queue.popleft()))
         return taken
 
+    def pass_on(self, coordinator: NodeInfo) -> None:
+        """Send some of the oldest events to the coordinator; a lost message loses them."""
+        entries = tuple(self.take(AUDIT_PUSH_ENTRIES))
+        if entries:
+            self._outbox.send_peer(coordinator, AuditPush(entries=entries))
+
     def _report_dropped(self) -> None:
         if self.dropped > self._reported:
             self._outbox.log(AUDIT_DROPPED, dropped=self.dropped - self._reported)
--- /dev/null
+++ b/libs/fleet/burdockrun_fleet/placement.py
@@ -0,0 +1,42 @@
+"""Where requests for a member go."""
+
+from burdockrun_messages import Member, NodeInfo
+
+from burdockrun_fleet.membership import Membership
+from burdockrun_fleet.roles import Role, RoleKeeper
+
+
+class Placement:
+    """Home and standby of members as seen by one node."""
+
+    def __init__(self, node: NodeInfo, roles: RoleKeeper, membership: Membership) -> None:
+        self._node = node
+        self._roles = roles
+        self._membership = membership
+
+    def find_home(self, member: Member) -> NodeInfo | None:
+        """Return the node to which requests for a member go.
+
+        That is the standby while the home is dead, or while this node is to be home but may not
+        open connections yet.
+        """
+        home, standby = self._roles.homes.find(member)
+        if home is None or standby is None:
+            return home or standby
+        if home.node == self._node.node:
+            return home if self._roles.held_role(member) is Role.HOME else standby
+        if not self._membership.is_alive(home.node) and self._membership.is_alive(standby.node):
+            return standby
+        return home
+
+    def find_standby(self, member: Member) -> NodeInfo | None:
+        """Return the standby of a member."""
+        return self._roles.homes.find(member)[1]
+
+    def is_home(self, member: Member) -> bool:
+        """Return whether this node serves a member: as home, or as standby of a dead home."""
+        role = self._roles.held_role(member)
+        if role is not Role.STANDBY:
+            return role is Role.HOME
+        home, _ = self._roles.homes.find(member)
+        return home is None or not self._membership.is_alive(home.node)
