--- /dev/null
+++ b/libs/admission/burdockrun_admission/first_come.py
@@ -0,0 +1,52 @@
+"""First come, first served: the naive queue that the scheduler is compared with."""
+
+from collections import deque
+
+from result import Ok, Result
+
+from burdockrun_admission.models import Refusal, Take, Work
+
+
+class FirstComeQueue:
+    """Queue with the interface of `RankScheduler` that admits everything in order of arrival."""
+
+    def __init__(self, slots: int) -> None:
+        self._slots = slots
+        self._queue: deque[Work] = deque()
+        self._started: set[int] = set()
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait."""
+        return len(self._queue)
+
+    def offer(self, work: Work, now_ms: int, *, hold: bool = False) -> Result[None, Refusal]:
+        """Let the request wait."""
+        del now_ms, hold
+        self._queue.append(work)
+        return Ok(None)
+
+    def take(self, now_ms: int) -> Take:
+        """Give the oldest request a slot, if one is free."""
+        del now_ms
+        if not self._queue or len(self._started) >= self._slots:
+            return Take()
+        work = self._queue.popleft()
+        self._started.add(work.work_id)
+        return Take(work=work)
+
+    def expire(self, now_ms: int) -> tuple[Work, ...]:
+        """Drop nothing."""
+        del now_ms
+        return ()
+
+    def cancel(self, work_id: int) -> bool:
+        """Forget a request that waits; return whether there was one."""
+        before = len(self._queue)
+        self._queue = deque(work for work in self._queue if work.work_id != work_id)
+        return len(self._queue) < before
+
+    def complete(self, work_id: int, now_ms: int) -> None:
+        """Free the slot of a request."""
+        del now_ms
+        self._started.discard(work_id)
--- a/libs/fleet/burdockrun_fleet/agent.py
+++ b/libs/fleet/burdockrun_fleet/agent.py
@@ -199,6 +199,10 @@
         """Return the standby of a member."""
         return self._placement.find_standby(member)
 
+    def find_node(self, name: str) -> NodeInfo | None:
+        """Return a node by its name, also one that drains, or None."""
+        return self.node if name == self.node.node else self._membership.find(name)
+
     def is_home(self, member: Member) -> bool:
         """Return whether this node serves a member: as home, or as standby of a dead home."""
         return self._placement.is_home(member)
@@ -207,6 +211,10 @@
         """Return the live nodes, with this one."""
         return (self.node, *self._membership.list_alive())
 
+    def list_role_members(self) -> Sequence[str]:
+        """Return the names of the members for which this node has or expects a role."""
+        return self._roles.list_members()
+
     def is_alive(self, name: str) -> bool:
         """Return whether a node counts as alive here."""
         return self._membership.is_alive(name)
