--- a/libs/fleet/burdockrun_fleet/agent.py
+++ b/libs/fleet/burdockrun_fleet/agent.py
@@ -83,7 +83,7 @@
         self._evidence = Evidence(node)
         self._roles = RoleKeeper(node, self._rosters, self._evidence, outbox)
         self._vms = VmView(node)
-        self._trail = AuditTrail(node, outbox)
+        self._trail = AuditTrail(node, outbox, wall_offset_ms=wall_offset_ms)
         self._membership = Membership(node, outbox, rng, self._build_digest, self._peer_changed)
         self._membership.on_ack = lambda ack, sent_ms, now_ms: self._evidence.note_ack(
             ack, sent_ms, self._rosters.rosters
@@ -237,7 +237,7 @@
 
     def audit(self, kind: str, now_ms: int, **fields: object) -> None:
         """Record an event in the audit trail."""
-        self._trail.record(kind, now_ms + self._wall_offset_ms, fields)
+        self._trail.record(kind, now_ms, fields)
 
     def is_leaving(self, member: Member) -> bool:
         """Return whether a ticket or the platform says that a member is leaving."""
--- a/libs/fleet/burdockrun_fleet/audit.py
+++ b/libs/fleet/burdockrun_fleet/audit.py
@@ -18,11 +18,19 @@
 class AuditTrail:
     """Bounded queue of recorded events; the oldest fall out when it is full and are counted."""
 
-    def __init__(self, node: NodeInfo, outbox: Outbox, limit: int = AUDIT_QUEUE) -> None:
+    def __init__(
+        self,
+        node: NodeInfo,
+        outbox: Outbox,
+        *,
+        limit: int = AUDIT_QUEUE,
+        wall_offset_ms: int = 0,
+    ) -> None:
         self.dropped = 0
         self._node = node
         self._outbox = outbox
         self._limit = limit
+        self._wall_offset_ms = wall_offset_ms
         self._queue: deque[AuditEntry] = deque()
         self._reported = 0
 
@@ -31,9 +39,10 @@
 
     def record(self, kind: str, now_ms: int, fields: dict[str, object]) -> None:
         """Write one event as a log event and queue it for the store."""
-        self._outbox.log(AUDIT_RECORDED, kind=kind, at_ms=now_ms, **fields)
+        at_ms = now_ms + self._wall_offset_ms
+        self._outbox.log(AUDIT_RECORDED, kind=kind, at_ms=at_ms, **fields)
         text = json.dumps(fields, default=str)
-        self.add([AuditEntry(kind=kind, node=self._node.node, at_ms=now_ms, fields=text)])
+        self.add([AuditEntry(kind=kind, node=self._node.node, at_ms=at_ms, fields=text)])
 
     def add(self, entries: Iterable[AuditEntry]) -> None:
         """Queue events, also those of other nodes."""
--- a/tests/fleet/test_coordinator.py
+++ b/tests/fleet/test_coordinator.py
@@ -14,7 +14,9 @@
 from burdockrun_messages import (
     CallPlatform,
     GrantLease,
+    KeysReply,
     LeaseReply,
+    ListKeys,
     NodeInfo,
     Outbox,
     PlatformAnswered,
@@ -23,7 +25,7 @@
 from hypothesis import strategies as st
 
 from tests.fleet.chaos import DOMAINS, Chaos
-from tests.fleet.common import StoreDriver, start_fleet
+from tests.fleet.common import StoreDriver, put_tickets, start_fleet
 
 NODE = NodeInfo(node="node", domain="aug", host="10.0.0.1", port=1)
 
@@ -150,3 +152,18 @@
 
 def _always(now_ms: int) -> bool:
     return True
+
+
+def test_accepted_tickets_and_lost_members_reach_the_audit_trail_in_the_store() -> None:
+    """Guards against operators who cannot find out who changed what and when."""
+    simulation = start_fleet(seed=24, count=8)
+    put_tickets(simulation, 2, 2)
+    simulation.stop("proxy-0006")
+    simulation.run(25_000)
+    reply = simulation.write(ListKeys(prefix="audit/"))
+    assert isinstance(reply, KeysReply)
+    records = [record for entry in reply.entries for record in json.loads(entry.value)]
+    accepted = [r["fields"] for r in records if r["kind"] == "ticket_accepted"]
+    assert {"ticket": 2, "author": "operator"} in accepted
+    assert any(r["kind"] == "ticket_in_force" and r["fields"]["ticket"] == 2 for r in records)
+    assert any(r["fields"].get("node") == "proxy-0006" for r in records)
--- a/tests/fleet/test_roles.py
+++ b/tests/fleet/test_roles.py
@@ -2,7 +2,7 @@
 
 import pytest
 from burdockrun_fleet.homes import split_share
-from burdockrun_messages import NodeInfo
+from burdockrun_messages import NodeInfo, VmEntry
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -82,3 +82,39 @@
             for node in simulation.nodes.values()
         ]
         assert sum(budgets) == SHARE
+
+
+def test_a_draining_node_hands_its_roles_over_without_a_wait() -> None:
+    """Guards against a graceful restart that costs its members a home for 10 s."""
+    simulation = start_fleet(seed=6, count=8, domains=("aug", "muc"))
+    simulation.run(10_000)
+    node = simulation.nodes["proxy-0000"]
+    held = [(d, m) for d, m in list_members(node) if node.agent.is_home(m)]
+    node.agent.drain(simulation.now_ms)
+    simulation.perform(node)
+
+    def is_handed_over() -> bool:
+        for database, member in list_members(node):
+            budget = node.agent.connection_budget(database, member, simulation.now_ms)
+            if not budget:
+                node.agent.release_connections(member, simulation.now_ms)
+        simulation.perform(node)
+        rest = [n for n in simulation.nodes.values() if n is not node]
+        return all(any(n.agent.is_home(member) for n in rest) for _, member in held)
+
+    assert held
+    assert simulation.run(6_000, until=is_handed_over) < 6_000
+
+
+def test_a_leaving_endpoint_is_known_everywhere_within_2_s() -> None:
+    """Guards against new work for a member that the platform is about to take away (I7)."""
+    simulation = start_fleet(seed=7, count=24)
+    _, member = list_members(simulation.nodes["proxy-0000"])[0]
+    simulation.store.vm_list_lag_ms = 0
+    leaving = VmEntry(
+        name=member.name, domain=member.domain, host="h", port=1, kind="endpoint", leaving=True
+    )
+    simulation.store.set_vms((leaving,), simulation.now_ms)
+    agents = [node.agent for node in simulation.nodes.values()]
+    taken_ms = simulation.run(2_000, until=lambda: all(a.is_leaving(member) for a in agents))
+    assert taken_ms < 2_000
