--- a/libs/fleet/burdockrun_fleet/audit.py
+++ b/libs/fleet/burdockrun_fleet/audit.py
@@ -4,19 +4,33 @@
 from collections import deque
 from collections.abc import Iterable
 
-from burdockrun_messages import AuditEntry, NodeInfo, Outbox
+from burdockrun_messages import AuditEntry, AuditPush, NodeInfo, Outbox
 
-from burdockrun_fleet.const import AUDIT_BATCH_BYTES, AUDIT_DROPPED, AUDIT_QUEUE, AUDIT_RECORDED
+from burdockrun_fleet.const import (
+    AUDIT_BATCH_BYTES,
+    AUDIT_DROPPED,
+    AUDIT_PUSH_ENTRIES,
+    AUDIT_QUEUE,
+    AUDIT_RECORDED,
+)
 
 
 class AuditTrail:
     """Bounded queue of recorded events; the oldest fall out when it is full and are counted."""
 
-    def __init__(self, node: NodeInfo, outbox: Outbox, limit: int = AUDIT_QUEUE) -> None:
+    def __init__(
+        self,
+        node: NodeInfo,
+        outbox: Outbox,
+        *,
+        limit: int = AUDIT_QUEUE,
+        wall_offset_ms: int = 0,
+    ) -> None:
         self.dropped = 0
         self._node = node
         self._outbox = outbox
         self._limit = limit
+        self._wall_offset_ms = wall_offset_ms
         self._queue: deque[AuditEntry] = deque()
         self._reported = 0
 
@@ -25,9 +39,10 @@
 
     def record(self, kind: str, now_ms: int, fields: dict[str, object]) -> None:
         """Write one event as a log event and queue it for the store."""
-        self._outbox.log(AUDIT_RECORDED, kind=kind, at_ms=now_ms, **fields)
+        at_ms = now_ms + self._wall_offset_ms
+        self._outbox.log(AUDIT_RECORDED, kind=kind, at_ms=at_ms, **fields)
         text = json.dumps(fields, default=str)
-        self.add([AuditEntry(kind=kind, node=self._node.node, at_ms=now_ms, fields=text)])
+        self.add([AuditEntry(kind=kind, node=self._node.node, at_ms=at_ms, fields=text)])
 
     def add(self, entries: Iterable[AuditEntry]) -> None:
         """Queue events, also those of other nodes."""
@@ -58,6 +73,12 @@
             taken.append(_shorten(self._queue.popleft()))
         return taken
 
+    def pass_on(self, coordinator: NodeInfo) -> None:
+        """Send some of the oldest events to the coordinator; a lost message loses them."""
+        entries = tuple(self.take(AUDIT_PUSH_ENTRIES))
+        if entries:
+            self._outbox.send_peer(coordinator, AuditPush(entries=entries))
+
     def _report_dropped(self) -> None:
         if self.dropped > self._reported:
             self._outbox.log(AUDIT_DROPPED, dropped=self.dropped - self._reported)
