Show the time of audit records and test competing tickets

Cause: The audit trail printed ms since the epoch, and no test had several submitters at once. Change: Text output starts with the time in UTC; a test submits four tickets at the same moment.

--- a/libs/control/burdockrun_control/audit.py
+++ b/libs/control/burdockrun_control/audit.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from burdockrun_control.const import EXIT_DONE, EXIT_UNREACHABLE, FOLLOW_INTERVAL_MS
-from burdockrun_control.output import Output
+from burdockrun_control.output import Output, format_time
 from burdockrun_control.store_reader import StoreReader
 
 
@@ -75,7 +75,16 @@
 
 def _write(records: Iterable[dict[str, Any]], output: Output) -> None:
     for record in records:
-        output.write(" ".join(f"{key}={value}" for key, value in record.items()), record)
+        output.write(_describe(record), record)
+
+
+def _describe(record: dict[str, Any]) -> str:
+    """Return time, domain and kind of a record, and its other fields."""
+    at = format_time(record.get("at_ms"))
+    fields = [
+        f"{key}={value}" for key, value in record.items() if key not in ("at_ms", "domain", "kind")
+    ]
+    return " ".join([at, str(record["domain"]), str(record.get("kind")), *fields])
 
 
 def _sort_key(record: dict[str, Any]) -> float:
--- a/libs/control/burdockrun_control/output.py
+++ b/libs/control/burdockrun_control/output.py
@@ -3,11 +3,12 @@
 import json
 import sys
 from collections.abc import Mapping
+from datetime import UTC, datetime
 from typing import TextIO
 
 from burdockrun_base import Findings
 
-from burdockrun_control.const import FORMAT_JSON
+from burdockrun_control.const import FORMAT_JSON, MAX_WALL_MS
 
 
 class Output:
@@ -39,3 +40,14 @@
     def write_unreachable(self, reason: str) -> None:
         """Write that the platform gave no usable answer."""
         self.write(f"platform not reachable: {reason}", {"result": "unreachable", "reason": reason})
+
+
+def format_time(wall_ms: object) -> str:
+    """Return a time since the Unix epoch in ms as a date in UTC.
+
+    >>> format_time(1_000)
+    '1970-01-01T00:00:01Z'
+    """
+    if not isinstance(wall_ms, int) or not 0 <= wall_ms <= MAX_WALL_MS:
+        return "an unknown time"
+    return datetime.fromtimestamp(wall_ms // 1_000, UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
--- a/libs/control/burdockrun_control/tickets.py
+++ b/libs/control/burdockrun_control/tickets.py
@@ -1,7 +1,6 @@
 """Commands `ticket in-force` and `ticket list`."""
 
 import asyncio
-from datetime import UTC, datetime
 from typing import Any
 
 from result import Err, Result
@@ -11,9 +10,8 @@
     EXIT_REFUSED,
     EXIT_UNREACHABLE,
     IN_FORCE_INTERVAL_MS,
-    MAX_WALL_MS,
 )
-from burdockrun_control.output import Output
+from burdockrun_control.output import Output, format_time
 from burdockrun_control.store_reader import StoreReader
 
 
@@ -101,14 +99,3 @@
     """Return the ticket number in the value of an `in_force` key, or 0."""
     number = value.get("number")
     return number if isinstance(number, int) else 0
-
-
-def format_time(wall_ms: object) -> str:
-    """Return a time since the Unix epoch in ms as a date in UTC.
-
-    >>> format_time(1_000)
-    '1970-01-01T00:00:01Z'
-    """
-    if not isinstance(wall_ms, int) or not 0 <= wall_ms <= MAX_WALL_MS:
-        return "an unknown time"
-    return datetime.fromtimestamp(wall_ms // 1_000, UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
--- a/tests/control/test_program.py
+++ b/tests/control/test_program.py
@@ -79,7 +79,10 @@
         platform.put(f"audit/{domain}/0000000001", [record])
     platform.put("audit/nbg/0000000002", "{")
     async with run_platform(platform) as address:
+        assert await async_ctl("audit", "--platform", address) == 0
+        text = capsys.readouterr().out
         assert await async_ctl("audit", "--platform", address, "--format", "json") == 0
+    assert "1970-01-01T00:00:00Z rgb drain node=p1 term=3" in text
     records = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
     assert [(record["domain"], record["kind"]) for record in records] == [
         ("nbg", "unreadable_batch"),
--- a/tests/control/test_tickets.py
+++ b/tests/control/test_tickets.py
@@ -1,5 +1,6 @@
 """Tests of the ticket commands against a store on loopback."""
 
+import asyncio
 import json
 from pathlib import Path
 
@@ -81,6 +82,25 @@
     assert "number 1 was taken by a ticket of eva" in capsys.readouterr().out
 
 
+async def test_competing_submissions_leave_no_gap(tmp_path: Path) -> None:
+    """Guards against two tickets under one number, and against refused ones that are kept."""
+    platform = FakePlatform()
+    files = []
+    for number in range(4):
+        folder = tmp_path / str(number)
+        folder.mkdir()
+        service = make_service(f"turns-{number}", 7000 + 100 * number)
+        files.append(write_ticket(folder, make_ticket(**{f"service-{number}": service})))
+    async with run_platform(platform) as address:
+        submits = [async_ctl("ticket", "submit", file, "--platform", address) for file in files]
+        statuses = await asyncio.gather(*submits)
+    accepted = statuses.count(0)
+    assert accepted >= 1
+    assert statuses.count(1) == 4 - accepted
+    stored = [read_key(platform, f"{KEY_TICKETS}{number:010d}") for number in range(1, 6)]
+    assert [bool(text) for text in stored] == [number <= accepted for number in range(1, 6)]
+
+
 async def test_lost_answer_is_read_back(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     """Guards against a second ticket of the same submission after a lost answer."""
     platform = FakePlatform()
