Test detection, changes, pauses and acknowledgement of database groups

Cause: the guarantees of promotion need a test each: loss, floods, outages, lost answers, pauses, planned changes, members, rules, double failures.

--- a/tests/failover/test_supervisor.py
+++ b/tests/failover/test_supervisor.py
@@ -1,25 +1,45 @@
 """Tests of the supervisor in a virtual-time world."""
 
-from tests.failover.common import World
+import dataclasses
+
+import pytest
+
+from tests.failover.common import FakeNode, World
+
+
+def start(seed: int, *, spare: int = 0) -> World:
+    """Return a world with an active term and a writer in the domain without a member."""
+    world = World(seed=seed, spare=spare)
+    world.run_until(1_000)
+    world.start_writes(world.nodes[3], 10)
+    world.run_until(2_000)
+    assert world.active.term == 1
+    return world
+
+
+def ask_for_change(world: World) -> None:
+    for node in world.nodes:
+        node.supervisor.request_change("test", world.now_ms)
+
+
+def find_promoter(world: World) -> FakeNode:
+    name = world.store.history[-1].promoter.split("#")[0]
+    return next(node for node in world.nodes if node.info.node == name)
 
 
 def test_first_promotion_activates_term_one() -> None:
     """Guards against a database without a record that never gets a primary."""
-    world = World(seed=1)
-    world.run_until(500)
-    assert world.active.term == 1
+    world = start(1)
     assert world.members[world.active.primary].role == "primary"
+    assert {node.supervisor.record for node in world.nodes} == {world.store.history[-1]}
 
 
 def test_replica_takes_over_from_a_dead_primary() -> None:
     """Guards against a failed primary that is never replaced, and lost acknowledged writes."""
-    world = World(seed=2)
-    world.run_until(1_000)
-    world.start_writes(world.nodes[3], 10)
-    world.run_until(2_000)
+    world = start(2)
     old = world.active
     world.members[old.primary].alive = False
-    world.run_until(5_000)
+    world.run_for(3_000)
     assert (world.active.term, world.active.primary != old.primary) == (2, True)
     assert world.acknowledged[-1].term == 2
     assert world.list_missing() == []
@@ -27,14 +47,186 @@
 
 def test_returned_primary_follows_and_loses_its_unconfirmed_tail() -> None:
     """Guards against an old primary that stays outside the group or keeps its own entries."""
-    world = World(seed=3)
-    world.run_until(1_000)
-    world.start_writes(world.nodes[3], 10)
+    world = start(3)
     old = world.members[world.active.primary]
     old.alive = False
     old.log.append((1, "never confirmed"))
-    world.run_until(4_000)
+    world.run_for(2_000)
     old.alive = True
-    world.run_until(6_000)
+    world.run_for(2_000)
     assert (old.term, old.role) == (2, "replica")
     assert (1, "never confirmed") not in old.log
+
+
+def test_stuck_primary_is_replaced_and_a_slow_one_is_not() -> None:
+    """Guards against a primary that answers probes for ever, and against promotion in a flood."""
+    world = start(4)
+    primary = world.members[world.active.primary]
+    for _ in range(100):
+        primary.pending = 50
+        world.run_for(100)
+    assert world.active.term == 1
+    primary.stuck = True
+    world.run_for(4_000)
+    assert world.active.primary != primary.member.name
+
+
+def test_no_promotion_under_loss_of_messages() -> None:
+    """Guards against a false promotion when 30% of all messages are lost."""
+    world = start(5)
+    world.links.loss = 0.3
+    world.run_for(20_000)
+    assert world.active.term == 1
+
+
+def test_platform_outage_delays_the_promotion() -> None:
+    """Guards against a promotion without the record, and one that never comes afterwards."""
+    world = start(6)
+    world.store.down = True
+    old = world.members[world.active.primary]
+    old.alive = False
+    world.run_for(10_000)
+    assert all(member.term == 1 for member in world.members.values())
+    world.store.down = False
+    world.run_for(30_000)
+    assert world.active.primary != old.member.name
+    assert world.acknowledged[-1].at_ms > world.now_ms - 100
+
+
+def test_claim_is_dropped_when_the_primary_returns_during_an_outage() -> None:
+    """Guards against a promotion on evidence from before a long outage of the platform."""
+    world = start(7)
+    world.store.down = True
+    old = world.members[world.active.primary]
+    old.alive = False
+    world.run_for(2_000)
+    old.alive = True
+    world.run_for(2_000)
+    world.store.down = False
+    world.run_for(40_000)
+    assert world.active.term == 1
+
+
+def test_lost_platform_answers_are_recognised() -> None:
+    """Guards against a promoter that does not know its own record and starts another term."""
+    world = start(8)
+    world.members[world.active.primary].alive = False
+    world.store.lost_answers = 1.0
+    world.run_for(1_200)
+    assert [record.state for record in world.store.history[2:]] == ["fencing"]
+    world.store.lost_answers = 0.0
+    world.run_for(2_000)
+    assert world.active.term == 2
+    assert len(world.store.history) == 4
+
+
+@pytest.mark.parametrize("pause_after_ms", [0, 6, 14])
+def test_paused_promoter_is_superseded_and_does_not_go_on(pause_after_ms: int) -> None:
+    """Guards against two primaries and against steps on a record that has moved on."""
+    world = start(9)
+    world.members[world.active.primary].alive = False
+    while world.store.history[-1].state == "active":
+        world.run_for(1)
+    promoter = find_promoter(world)
+    world.run_for(pause_after_ms)
+    promoter.paused_since_ms = world.now_ms
+    world.run_for(4_000)
+    assert world.active.term == 3
+    assert world.store.history[2].active == world.store.history[3].active
+    promoter.resume()
+    world.run_for(2_000)
+    assert world.active.term == 3
+    assert "term_activated" not in promoter.events
+    assert promoter.supervisor.record == world.store.history[-1]
+
+
+def test_paused_home_ignores_evidence_from_before_the_pause() -> None:
+    """Guards against a promotion on silence and verdicts that a pause has made stale."""
+    world = start(10)
+    primary = world.members[world.active.primary]
+    primary.alive = False
+    world.run_for(590)
+    for node in world.nodes:
+        node.paused_since_ms = world.now_ms
+    world.run_for(3_000)
+    primary.alive = True
+    primary.pull()
+    world.run_for(300)
+    for node in world.nodes:
+        node.resume()
+    world.run_for(3_000)
+    assert world.active.term == 1
+
+
+def test_planned_change_moves_the_primary_with_a_short_gap() -> None:
+    """Guards against a planned change that loses writes or stops them for over 100 ms."""
+    world = start(11)
+    old, started_ms = world.active.primary, world.now_ms
+    ask_for_change(world)
+    world.run_for(1_000)
+    assert (world.active.term, world.active.primary != old) == (2, True)
+    assert world.find_gap_ms(started_ms) <= 100
+    assert world.list_missing() == []
+
+
+def test_abandoned_change_keeps_the_old_primary() -> None:
+    """Guards against writes that stop because the target never has the whole log."""
+    world = start(12)
+    for member in world.members.values():
+        member.ships_when_fenced = False
+        member.pull_ms = 40
+    old, started_ms = world.active.primary, world.now_ms
+    ask_for_change(world)
+    world.run_for(1_000)
+    assert (world.active.term, world.active.primary) == (2, old)
+    assert world.find_gap_ms(started_ms) <= 250
+    assert "change_abandoned" in world.homes[old].events
+
+
+def test_leaving_primary_and_replaced_members_change_in_terms() -> None:
+    """Guards against a ticket that leaves a member without its place or loses writes."""
+    world = start(13, spare=1)
+    keep = [dataclasses.replace(world.members[name].member) for name in ("m1", "m2", "m3")]
+    database = dataclasses.replace(world.database, members=tuple(keep))
+    for node in world.nodes:
+        node.supervisor.set_database(database)
+    world.run_for(20_000)
+    assert set(world.active.members) == {"m1", "m2", "m3"}
+    copy, log = world.members["m3"].log, world.members[world.active.primary].log
+    assert copy == log[: len(copy)]
+    assert len(log) - len(copy) < 10
+    assert world.list_missing() == []
+
+
+def test_rule_primary_is_entered_and_left_by_new_terms() -> None:
+    """Guards against writes that nobody can acknowledge while both replicas are far behind."""
+    world = start(14)
+    for member in world.members.values():
+        member.pull_ms, member.pull_limit = 500, 10
+    world.run_for(14_000)
+    assert (world.active.term, world.active.ack_rule) == (2, "primary")
+    assert world.acknowledged[-1].at_ms > world.now_ms - 100
+    primary = world.members[world.active.primary]
+    primary.alive = False
+    world.run_for(3_000)
+    assert world.active.term == 2
+    primary.alive = True
+    for member in world.members.values():
+        member.hurry()
+    world.run_for(20_000)
+    assert world.active.ack_rule == "majority"
+    assert world.list_missing() == []
+
+
+@pytest.mark.parametrize("dead", ["m1", "m2"])
+def test_promotion_waits_until_a_majority_is_back(dead: str) -> None:
+    """Guards against a promotion without the acknowledged writes after a double failure."""
+    world = start(15)
+    old = world.members[world.active.primary]
+    old.alive = world.members[dead].alive = False
+    world.run_for(5_000)
+    assert world.active.primary == old.member.name
+    world.members[dead].restart()
+    world.run_for(3_000)
+    assert world.active.primary not in (old.member.name, None)
+    assert world.list_missing() == []
