Judge a primary by probes of its replicas' homes and move planned changes along

Change: 12 lost probes in a row besides the silence of the replica; silence on a clean path counts after 2 s; a planned change falls back to a fenced majority after 20 ms and to the old primary after 70 ms; the role moves when the primary's home cannot reach it for 2 s; `Acknowledger.learn_record` knows the rule.

--- a/libs/failover/burdockrun_failover/acknowledger.py
+++ b/libs/failover/burdockrun_failover/acknowledger.py
@@ -4,8 +4,10 @@
 from dataclasses import dataclass, field
 
 from burdockrun_messages import (
+    AckRule,
     AwaitConfirmed,
     ControlReply,
+    GroupRecord,
     Member,
     MemberRole,
     MemberStatus,
@@ -46,7 +48,7 @@
 class Acknowledger:
     """Waits until the primary of a term reports an index as held by a majority under that term.
 
-    Used for terms with rule `majority`; under rule `primary` the answer of the primary suffices.
+    In a term with rule `primary`, known from `learn_record`, the answer of the primary suffices.
     `deadline_ms` is an absolute time. A few calls are under way for each member; a reply settles
     all writes up to the index that it confirms.
     """
@@ -55,12 +57,25 @@
         self._outbox = outbox
         self._queues: dict[tuple[str, int], Queue] = {}
         self._now_ms = 0
+        self._sufficient: dict[str, tuple[str, int]] = {}
+
+    def learn_record(self, record: GroupRecord, now_ms: int) -> None:
+        """Note the acknowledgement rule of a database's last active term."""
+        self._now_ms = max(self._now_ms, now_ms)
+        active = record.active
+        if active is not None and active.ack_rule is AckRule.PRIMARY:
+            self._sufficient[record.database] = (active.primary, active.term)
+        else:
+            self._sufficient.pop(record.database, None)
 
     def wait(
         self, member: Member, term: int, index: int, deadline_ms: int, on_done: OnDone
     ) -> None:
         """Ask for the confirmation of a write; `on_done` gets False when it is not known."""
         key = (member.name, term)
+        if key in self._sufficient.values():
+            on_done(True, self._now_ms)
+            return
         queue = self._queues.setdefault(key, Queue(member=member, term=term))
         queue.waiters.append(Waiter(index=index, deadline_ms=deadline_ms, on_done=on_done))
         self._ask(queue)
--- a/libs/failover/burdockrun_failover/choice.py
+++ b/libs/failover/burdockrun_failover/choice.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from burdockrun_messages import LogPosition
+from burdockrun_messages import AckRule, LogPosition
 
 from burdockrun_failover.models import PromotionPlan
 from burdockrun_failover.records import count_majority, covers_acknowledged, find_start
@@ -24,6 +24,18 @@
     return chosen
 
 
+def needs_confirmation(plan: PromotionPlan) -> bool:
+    """Return whether the acknowledging sets change, so that the new ones must hold the log first.
+
+    Otherwise a write that an old set acknowledged might be missing in a fenced set of the new term.
+    """
+    previous = plan.known.active if plan.known is not None else None
+    if previous is None or plan.ack_rule is AckRule.PRIMARY:
+        return False
+    same_members = set(previous.members) == set(plan.members)
+    return previous.ack_rule is AckRule.PRIMARY or not same_members
+
+
 def _choose_greatest(plan: PromotionPlan, fenced: Mapping[str, LogPosition]) -> str | None:
     if not fenced or not _covers(plan, fenced):
         return None
--- a/libs/failover/burdockrun_failover/const.py
+++ b/libs/failover/burdockrun_failover/const.py
@@ -12,8 +12,9 @@
 PROBE_MAX_MS: Final = 1_000
 PROBE_SILENT_MS: Final = 100
 # A doubted primary is probed at this interval for some hundred ms, so that lost messages alone do
-# not look like a failure: with 30% loss on both ways, 12 probes in 600 ms all fail with p = 3e-4.
-PROBE_DOUBT_MS: Final = 50
+# not look like a failure: with 30% loss on both ways, 12 probes all fail with p = 3e-4.
+PROBE_DOUBT_MS: Final = 40
+DOUBT_AFTER_MS: Final = 100
 PROBE_TIMEOUT_MS: Final = 400
 
 # A replica that reports this silence is asked more often, and its home probes the primary itself,
@@ -21,11 +22,16 @@
 UPSTREAM_DOUBT_MS: Final = 200
 SUSPECT_AFTER_MS: Final = 600
 # One lost answer after an idle second is no evidence of failure.
-SUSPECT_MIN_PROBES: Final = 6
-# The home of a replica that lost its primary needs less silence of its own probes.
-DIRECT_SILENT_MS: Final = 300
-# A primary that answers homes but reaches no replica for so long can acknowledge nothing.
+SUSPECT_MIN_PROBES: Final = 12
+# The home of a replica that lost its primary needs a little less silence of its own probes.
+DIRECT_SILENT_MS: Final = 450
+# A primary that answers homes but reaches no replica can acknowledge nothing. While all probes are
+# answered, the silence cannot come from lost messages; else it takes much longer to be sure.
 UPSTREAM_LOST_MS: Final = 2_000
+CLEAN_PATH_PROBES: Final = 16
+UPSTREAM_LOST_ON_LOSSY_PATH_MS: Final = 10_000
+# When its home cannot reach the primary while other homes can, the role moves by a planned change.
+UNREACHABLE_AT_HOME_MS: Final = 2_000
 STATUS_FRESH_MS: Final = 400
 STUCK_AFTER_MS: Final = 2_000
 # Other homes confirm a stuck primary by their own probes; the 2 s have already passed at its home.
@@ -48,9 +54,11 @@
 PRIMARY_FENCE_MS: Final = 300
 AVOID_MS: Final = 500
 CATCH_UP_POLL_MS: Final = 10
-# A planned change is given up in favour of the old primary after this time, which keeps the write
-# gap of a change that fails near the goal of 100 ms.
-CATCH_UP_BOUND_MS: Final = 60
+# The target of a planned change usually has the whole log within one delay. After the first bound
+# a majority of the replicas is fenced and takes over without the unacknowledged rest; after the
+# second the old primary serves on, which keeps the gap near the goal of 100 ms.
+CATCH_UP_BOUND_MS: Final = 20
+CHANGE_BOUND_MS: Final = 70
 FOLLOW_REPEAT_MS: Final = 200
 CONFIRM_BOUND_MS: Final = 300
 CHANGE_REPEAT_MS: Final = 5_000
--- a/libs/failover/burdockrun_failover/detector.py
+++ b/libs/failover/burdockrun_failover/detector.py
@@ -5,6 +5,8 @@
 from burdockrun_messages import ActiveTerm, MemberRole, MemberStatus
 
 from burdockrun_failover.const import (
+    CLEAN_PATH_PROBES,
+    DOUBT_AFTER_MS,
     STATUS_FRESH_MS,
     STUCK_AFTER_MS,
     STUCK_CONFIRM_MS,
@@ -21,7 +23,8 @@
 
     `silent_since_ms` is when the first probe without an answer since the last sign of life was
     sent; `idle_since_ms` since when the member has work waiting and finishes nothing;
-    `deposed_answers` counts statuses in a row that show another role than primary.
+    `deposed_answers` counts statuses in a row that show another role than primary,
+    `answered_in_row` answered probes since the last lost one.
     """
 
     status: MemberStatus | None = None
@@ -31,6 +34,7 @@
     idle_since_ms: int | None = None
     idle_answers: int = 0
     deposed_answers: int = 0
+    answered_in_row: int = 0
 
 
 class FailureDetector:
@@ -66,6 +70,10 @@
         if evidence.silent_since_ms is None:
             evidence.silent_since_ms = now_ms
 
+    def note_lost(self, member: str) -> None:
+        """Note that a probe had no answer."""
+        self._find(member).answered_in_row = 0
+
     def note_life(self, member: str) -> None:
         """Note an answer of any kind."""
         evidence = self._find(member)
@@ -84,6 +92,7 @@
         self.note_life(member)
         evidence = self._find(member)
         previous, evidence.status, evidence.status_at_ms = evidence.status, status, now_ms
+        evidence.answered_in_row += 1
         deposed = status.role is not MemberRole.PRIMARY
         evidence.deposed_answers = evidence.deposed_answers + 1 if deposed else 0
         idle = (
@@ -101,12 +110,13 @@
         if evidence.idle_since_ms is None:
             evidence.idle_since_ms = now_ms
 
-    def is_unsure(self, member: str, active: ActiveTerm | None) -> bool:
+    def is_unsure(self, member: str, active: ActiveTerm | None, now_ms: int) -> bool:
         """Return whether a member should be probed at the faster rate."""
         evidence = self._members.get(member)
         if evidence is None:
             return False
-        if evidence.unanswered > 1:
+        silent_since_ms = evidence.silent_since_ms
+        if silent_since_ms is not None and now_ms - silent_since_ms >= DOUBT_AFTER_MS:
             return True
         status = evidence.status
         if status is None or active is None:
@@ -122,6 +132,11 @@
         silent_ms = now_ms - evidence.silent_since_ms
         return silent_ms >= limit_ms and evidence.unanswered >= SUSPECT_MIN_PROBES
 
+    def has_clean_path(self, member: str) -> bool:
+        """Return whether a member has answered many probes in a row."""
+        evidence = self._members.get(member)
+        return evidence is not None and evidence.answered_in_row >= CLEAN_PATH_PROBES
+
     def is_stuck(self, member: str, active: ActiveTerm, now_ms: int, *, confirming: bool) -> bool:
         """Return whether a primary answers probes but does not serve its term."""
         evidence = self._members.get(member)
--- a/libs/failover/burdockrun_failover/leading.py
+++ b/libs/failover/burdockrun_failover/leading.py
@@ -11,10 +11,12 @@
     CHANGE_REPEAT_MS,
     RULE_CHANGED,
     STALL_AFTER_MS,
+    UNREACHABLE_AT_HOME_MS,
 )
 from burdockrun_failover.group import Group
 from burdockrun_failover.rule import RuleAdvisor
 from burdockrun_failover.survey import Survey
+from burdockrun_failover.verdicts import VerdictTable
 
 StartChange = Callable[[Change, str, int], bool]
 
@@ -29,10 +31,16 @@
     """
 
     def __init__(
-        self, group: Group, advisor: RuleAdvisor, outbox: Outbox, start: StartChange
+        self,
+        group: Group,
+        advisor: RuleAdvisor,
+        verdicts: VerdictTable,
+        outbox: Outbox,
+        start: StartChange,
     ) -> None:
         self._group = group
         self._advisor = advisor
+        self._verdicts = verdicts
         self._outbox = outbox
         self._start = start
         self._survey: Survey | None = None
@@ -41,11 +49,10 @@
         self._tries = 0
         self._requested: str | None = None
 
-    def request(self, reason: str, now_ms: int) -> None:
-        """Ask for another primary; given up after some tries."""
-        self._requested = reason
-        self._tries = 0
-        self._next_at_ms = now_ms
+    def request(self, reason: str) -> None:
+        """Ask for another primary; asking again changes nothing while the request is open."""
+        if self._requested is None:
+            self._requested = reason
 
     def clear(self) -> None:
         """Forget what is under way, as after a pause or with a new record."""
@@ -63,7 +70,7 @@
         active = self._group.active
         if active is None or self._survey is not None or now_ms < self._next_at_ms:
             return
-        if self._find_change(active) is None:
+        if self._find_change(active, now_ms) is None:
             self._due_since_ms = None
             self._tries = 0
             return
@@ -91,16 +98,18 @@
         survey = Survey(members, self._outbox, on_done)
         self._survey = survey
 
-    def _find_change(self, active: ActiveTerm) -> Change | None:
+    def _find_change(self, active: ActiveTerm, now_ms: int) -> Change | None:
+        cut_off_ms = self._verdicts.measure_failed_ms(active.primary, active, now_ms)
+        cut_off = cut_off_ms >= UNREACHABLE_AT_HOME_MS
         return find_change(
             active,
             self._group.database,
-            requested=self._requested,
+            requested="home cannot reach the primary" if cut_off else self._requested,
             advised=self._advisor.advise(active.ack_rule),
         )
 
     def _decide(self, active: ActiveTerm, statuses: dict[str, MemberStatus], now_ms: int) -> None:
-        change = self._find_change(active)
+        change = self._find_change(active, now_ms)
         if change is None or active != self._group.active or active.primary not in statuses:
             return
         target: str | None = active.primary
--- a/libs/failover/burdockrun_failover/observer.py
+++ b/libs/failover/burdockrun_failover/observer.py
@@ -26,6 +26,7 @@
     SUSPICION_CLEARED,
     UPSTREAM_DOUBT_MS,
     UPSTREAM_LOST_MS,
+    UPSTREAM_LOST_ON_LOSSY_PATH_MS,
     VERDICT_REPEAT_MS,
 )
 from burdockrun_failover.detector import FailureDetector
@@ -136,7 +137,7 @@
         due_ms = self._probe_at_ms.setdefault(
             member.name, now_ms + self._rng.randint(0, self._budget.interval_ms // 2)
         )
-        if doubted or self.detector.is_unsure(member.name, self._group.active):
+        if doubted or self.detector.is_unsure(member.name, self._group.active, now_ms):
             doubted = True
             probed_at_ms = self._probed_at_ms.get(member.name, 0)
             due_ms = min(due_ms, probed_at_ms + self._find_doubt_interval_ms(member.name))
@@ -203,7 +204,9 @@
                 member, active, now_ms, confirming=False
             )
         lost_ms = detector.measure_upstream_silent_ms(member, active, now_ms)
-        if lost_ms >= UPSTREAM_LOST_MS:
+        if lost_ms >= UPSTREAM_LOST_ON_LOSSY_PATH_MS:
+            return True
+        if lost_ms >= UPSTREAM_LOST_MS and detector.has_clean_path(active.primary):
             return True
         if lost_ms >= SUSPECT_AFTER_MS and detector.is_silent(
             active.primary, now_ms, DIRECT_SILENT_MS
--- a/libs/failover/burdockrun_failover/promotion.py
+++ b/libs/failover/burdockrun_failover/promotion.py
@@ -4,7 +4,6 @@
 
 from burdockrun_base import LogEvent
 from burdockrun_messages import (
-    AckRule,
     ActiveTerm,
     GroupRecord,
     LogPosition,
@@ -15,12 +14,13 @@
 )
 
 from burdockrun_failover.calls import TermCalls
-from burdockrun_failover.choice import choose_member
+from burdockrun_failover.choice import choose_member, needs_confirmation
 from burdockrun_failover.const import (
     AVOID_MS,
     CATCH_UP_BOUND_MS,
     CATCH_UP_POLL_MS,
     CHANGE_ABANDONED,
+    CHANGE_BOUND_MS,
     CONFIRM_BOUND_MS,
     CONTROL_RETRY_MS,
     FENCE_RETRY_MAX_MS,
@@ -153,12 +153,14 @@
         self._wait(now_ms, max(CONTROL_RETRY_MS, min(FENCE_RETRY_MAX_MS, waited_ms // 4)))
 
     def _list_to_fence(self, now_ms: int) -> tuple[str, ...]:
-        if self._previous is None:
-            return self.plan.members
         early = now_ms - self._phase_at_ms < PRIMARY_FENCE_MS
-        if self.plan.kind is PromotionKind.PLANNED and early:
+        if self._previous is not None and self.plan.kind is PromotionKind.PLANNED and early:
             return (self._previous.primary,)
-        return tuple(dict.fromkeys((*self._previous.members, *self.plan.members)))
+        return self._list_all()
+
+    def _list_all(self) -> tuple[str, ...]:
+        previous = self._previous.members if self._previous is not None else ()
+        return tuple(dict.fromkeys((*previous, *self.plan.members)))
 
     def _evaluate(self, now_ms: int) -> None:
         if self._moves_primary():
@@ -180,12 +182,15 @@
         return previous.primary in self._fenced and self.plan.target != previous.primary
 
     def _poll_target(self, now_ms: int) -> None:
-        target = self.plan.target
-        if target is None or now_ms - self._phase_at_ms >= CATCH_UP_BOUND_MS:
+        waited_ms = now_ms - self._phase_at_ms
+        if self.plan.target is None or waited_ms >= CHANGE_BOUND_MS:
             self._abandon(now_ms)
-            return
-        self._calls.ask(target)
-        self._wait(now_ms, CATCH_UP_POLL_MS)
+        elif waited_ms < CATCH_UP_BOUND_MS:
+            self._calls.ask(self.plan.target)
+            self._wait(now_ms, CATCH_UP_POLL_MS)
+        else:
+            self._calls.fence(name for name in self._list_all() if name not in self._fenced)
+            self._wait(now_ms, CHANGE_BOUND_MS - waited_ms)
 
     def _abandon(self, now_ms: int) -> None:
         chosen = choose_member(self.plan, self._fenced, accept_avoided=True)
@@ -229,21 +234,27 @@
         if self.phase is Phase.FENCE:
             self._evaluate(now_ms)
         elif self.phase is Phase.CATCH_UP:
-            self._check_target(member, status, now_ms)
+            self._check_caught_up(member, status, now_ms)
         elif self._chosen is not None and member == self._chosen.name:
             self._check_promoted(status, now_ms, newly_fenced=newly_fenced)
 
-    def _check_target(self, member: str, status: MemberStatus, now_ms: int) -> None:
+    def _check_caught_up(self, member: str, status: MemberStatus, now_ms: int) -> None:
         """Promote the target once it has the whole log of the fenced primary.
 
         Its position cannot shrink before it is fenced itself, so fence and promotion are sent
-        together, which saves one round trip of the write gap.
+        together, which saves one round trip of the write gap. Without the whole log, a fenced
+        majority of the others holds at least all that was acknowledged.
         """
-        previous = self._previous
-        if previous is None or member != self.plan.target:
+        if self._previous is None:
             return
-        if status.position >= self._fenced[previous.primary]:
+        final = self._fenced[self._previous.primary]
+        if member == self.plan.target and status.position >= final:
             self._promote(member, now_ms)
+            return
+        others = {name: at for name, at in self._fenced.items() if name != self._previous.primary}
+        chosen = choose_member(self.plan, others, accept_avoided=False)
+        if chosen is not None:
+            self._promote(chosen, now_ms)
 
     def _check_promoted(self, status: MemberStatus, now_ms: int, *, newly_fenced: bool) -> None:
         if status.term != self.plan.term or status.role is not MemberRole.PRIMARY:
@@ -253,21 +264,13 @@
         if self._chosen is not None and self.phase is Phase.PROMOTE:
             self._start_index = status.position.index
             self._calls.follow(self._chosen)
-            if self._needs_confirmation():
+            if needs_confirmation(self.plan):
                 self._enter(Phase.CONFIRM, now_ms)
                 self._wait(now_ms, CATCH_UP_POLL_MS)
         if self.phase is Phase.CONFIRM and status.confirmed_index < self._start_index:
             return
         self._activate(now_ms)
 
-    def _needs_confirmation(self) -> bool:
-        """Return whether the acknowledging sets change, so that the new ones must hold the log."""
-        previous = self._previous
-        if previous is None or self.plan.ack_rule is AckRule.PRIMARY:
-            return False
-        same_members = set(previous.members) == set(self.plan.members)
-        return previous.ack_rule is AckRule.PRIMARY or not same_members
-
     def _activate(self, now_ms: int) -> None:
         if self._claimed is None or self._chosen is None:
             return
--- a/libs/failover/burdockrun_failover/supervisor.py
+++ b/libs/failover/burdockrun_failover/supervisor.py
@@ -68,9 +68,11 @@
             rng=rng,
             on_status=self.observe,
         )
-        self._follow = FollowKeeper(self._group, self._observer.detector, outbox)
         self._advisor = RuleAdvisor()
-        self._changes = ChangeLeader(self._group, self._advisor, outbox, self._start_change)
+        self._changes = ChangeLeader(
+            self._group, self._advisor, self._observer.verdicts, outbox, self._start_change
+        )
+        self._follow = FollowKeeper(self._group, self._observer.detector, outbox)
         self._attempt: Promotion | None = None
         self._record_at_ms = 0
         self._last_tick_ms: int | None = None
@@ -106,6 +108,7 @@
     def observe(self, member: str, status: MemberStatus | None, now_ms: int) -> None:
         """Note the status of a member, or that a probe had no answer."""
         if status is None:
+            self._observer.detector.note_lost(member)
             return
         self._observer.detector.note_status(member, status, now_ms)
         if self.on_status is not None:
@@ -145,8 +148,8 @@
         return True
 
     def request_change(self, reason: str, now_ms: int) -> None:
-        """Ask for a planned change of the primary."""
-        self._changes.request(reason, now_ms)
+        """Ask for a planned change of the primary; given up after some tries."""
+        self._changes.request(reason)
 
     def pause(self, gap_ms: int, now_ms: int) -> None:
         """Forget evidence from before a pause and read the record before any further step."""
