--- a/libs/fleet/burdockrun_fleet/coordinator.py
+++ b/libs/fleet/burdockrun_fleet/coordinator.py
@@ -171,7 +171,7 @@
         if numbers and self._parts.feed.number == before and min(numbers) > before + 1:
             # The tickets in between are deleted or were not in this answer.
             self._snapshot.restart()
-            self._tickets.restart()
+            self._tickets.retry_later(now_ms)
 
     def _receive_groups(self, entries: Sequence[KeyEntry], now_ms: int) -> None:
         self.on_groups(entries, now_ms)
--- a/libs/fleet/burdockrun_fleet/experiment.py
+++ b/libs/fleet/burdockrun_fleet/experiment.py
@@ -15,6 +15,7 @@
 from burdockrun_messages import Configuration, PutKey
 from burdockrun_settings import configuration_from_json, configuration_to_json
 
+from burdockrun_fleet.experiment_client import measure_client
 from burdockrun_fleet.experiment_load import (
     DOMAINS,
     SharedFormat,
@@ -33,7 +34,7 @@
 TICKETS_PER_CASE = 3
 TICKET_LIMIT_MS = 8_000
 OUTAGE_MS = 60_000
-PARTS = ("steady", "tickets", "failures")
+PARTS = ("steady", "tickets", "failures", "client")
 
 Figures = dict[str, object]
 
@@ -83,6 +84,9 @@
             "failures": lambda: (
                 self.measure_death() | self.measure_outage() | self.measure_restart()
             ),
+            "client": lambda: measure_client(
+                self.simulation, self.nodes[0].agent.configuration, self.number + 1
+            ),
         }
 
     def run_and_find_peak(self, duration_ms: int) -> int:
--- a/libs/fleet/burdockrun_fleet/loader.py
+++ b/libs/fleet/burdockrun_fleet/loader.py
@@ -94,6 +94,11 @@
         self._revision = None
         self._page_after = ""
 
+    def retry_later(self, now_ms: int) -> None:
+        """List again after a wait, because what was read cannot be used yet."""
+        self._backoff.fail(now_ms)
+        self.restart()
+
     def stop(self) -> None:
         """Ignore replies from now on."""
         self.running = False
