--- /dev/null
+++ b/libs/bench/burdockrun_bench/chaos.py
@@ -0,0 +1,327 @@
+"""Faults of a soak run: stormy phases with faults, calm phases with operators' work."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from burdockrun_fleet import Accepted, SubmissionResult
+from burdockrun_messages import DrainRequested, Service
+
+from burdockrun_bench.cluster import Cluster
+from burdockrun_bench.const import DRAIN_LIMIT_MS, LEAVING_LIMIT_MS, TICKET_LIMIT_MS
+from burdockrun_bench.links import PLATFORM
+from burdockrun_bench.member_host import MemberHost
+from burdockrun_bench.node_host import NodeHost
+from burdockrun_bench.submitter import Submitter, change_target, mark_leaving
+from burdockrun_bench.workload import Flood
+
+STORM_MS = (6_000, 16_000)
+RECOVERY_MS = 10_000
+CALM_MS = 8_000
+CHECK_MS = 200
+
+
+@dataclass(kw_only=True, slots=True)
+class TicketWatch:
+    """Committed ticket whose spreading is being checked."""
+
+    number: int
+    committed_ms: int
+
+
+class Chaos:
+    """Schedules faults by the random numbers of one seed; `heal` ends them all."""
+
+    def __init__(
+        self, cluster: Cluster, submitter: Submitter, flood: Flood, rng: random.Random
+    ) -> None:
+        self._cluster = cluster
+        self._submitter = submitter
+        self._flood = flood
+        self._rng = rng
+        self._loop = cluster.loop
+        self._active = 0
+        self._stopped = False
+        self._storm_end_ms = 0
+        self._heals: list[Callable[[], None]] = []
+        self._service: Service = cluster.plan.services[0]
+        self._watches: list[TicketWatch] = []
+        self._faults: tuple[tuple[int, Callable[[], None]], ...] = (
+            (3, self._partition),
+            (2, self._cut_platform),
+            (2, self._platform_down),
+            (1, self._platform_slow),
+            (2, self._platform_loses),
+            (4, self._kill_member),
+            (3, self._pause_member),
+            (2, self._lag_member),
+            (1, self._stick_member),
+            (2, self._lose_member_answers),
+            (3, self._kill_node),
+            (3, self._pause_node),
+            (2, self._lossy_links),
+            (2, self._start_flood),
+            (1, self._compete),
+        )
+
+    def start(self) -> None:
+        """Begin with a calm phase."""
+        self._loop.after(CHECK_MS, self._check)
+        self._loop.after(RECOVERY_MS, self._begin_storm)
+
+    def stop(self) -> None:
+        """End all faults and start none again."""
+        self._stopped = True
+        for heal in list(self._heals):
+            heal()
+
+    def note_ticket(self, result: SubmissionResult, now_ms: int) -> None:
+        """Check from now on that an accepted ticket spreads in time."""
+        if isinstance(result, Accepted):
+            self._watches.append(TicketWatch(number=result.number, committed_ms=now_ms))
+
+    def _check(self) -> None:
+        now_ms = self._loop.now_ms
+        cluster = self._cluster
+        if self._active:
+            cluster.disturbed_ms = now_ms
+        for watch in list(self._watches):
+            if cluster.disturbed_ms >= watch.committed_ms - RECOVERY_MS // 2:
+                self._watches.remove(watch)
+            elif now_ms - watch.committed_ms > TICKET_LIMIT_MS:
+                self._watches.remove(watch)
+                self._check_in_force(watch)
+        self._loop.after(CHECK_MS, self._check)
+
+    def _check_in_force(self, watch: TicketWatch) -> None:
+        for host in self._cluster.nodes:
+            number = self._cluster.read_ticket(host)
+            if host.started_ms < watch.committed_ms - RECOVERY_MS and number < watch.number:
+                late_ms = self._loop.now_ms - watch.committed_ms
+                self._cluster.invariants.note_late_ticket(host.info.node, watch.number, late_ms)
+
+    def _begin_storm(self) -> None:
+        if self._stopped:
+            return
+        self._storm_end_ms = self._loop.now_ms + self._rng.randint(*STORM_MS)
+        self._loop.note("storm until", self._storm_end_ms)
+        self._next_fault()
+
+    def _next_fault(self) -> None:
+        if self._stopped:
+            return
+        if self._loop.now_ms >= self._storm_end_ms:
+            self._loop.after(RECOVERY_MS, self._begin_calm)
+            return
+        weights = [weight for weight, _ in self._faults]
+        _, fault = self._rng.choices(self._faults, weights)[0]
+        fault()
+        self._loop.after(self._rng.randint(200, 4_000), self._next_fault)
+
+    def _begin_calm(self) -> None:
+        if self._stopped:
+            return
+        if self._active:
+            self._loop.after(RECOVERY_MS, self._begin_calm)
+            return
+        self._loop.note("calm")
+        self._rng.choice((self._change_ticket, self._leave_by_ticket, self._drain, self._compete))()
+        self._loop.after(CALM_MS, self._begin_storm)
+
+    def _last(self, least_ms: int, most_ms: int, heal: Callable[[], None]) -> None:
+        """Call `heal` after a random time, or when the run ends."""
+        self._active += 1
+        self._cluster.disturbed_ms = self._loop.now_ms
+
+        def end() -> None:
+            if end in self._heals:
+                self._heals.remove(end)
+                self._active -= 1
+                self._cluster.disturbed_ms = self._loop.now_ms
+                heal()
+
+        self._heals.append(end)
+        self._loop.after(self._rng.randint(least_ms, most_ms), end)
+
+    def _pick_member(self) -> MemberHost:
+        hosts = list(self._cluster.members.values())
+        names = list(self._cluster.databases)
+        primary = self._cluster.find_primary(self._rng.choice(names))
+        if primary is not None and self._rng.random() < 0.5:
+            return primary
+        return self._rng.choice(hosts)
+
+    def _partition(self) -> None:
+        domains = self._cluster.plan.domains
+        lonely = self._rng.choice(domains)
+        others = [domain for domain in domains if domain != lonely]
+        if self._rng.random() < 0.3:
+            others = [self._rng.choice(others)]
+        if self._rng.random() < 0.5:
+            others.append(PLATFORM.domain)
+        self._cut(lonely, others)
+
+    def _cut_platform(self) -> None:
+        self._cut(PLATFORM.domain, [self._rng.choice(self._cluster.plan.domains)])
+
+    def _cut(self, domain: str, others: list[str]) -> None:
+        self._loop.note("cut", domain, others)
+        for other in others:
+            self._cluster.links.cut(domain, other)
+
+        def heal() -> None:
+            self._loop.note("healed", domain, others)
+            for other in others:
+                self._cluster.links.heal(domain, other)
+
+        self._last(500, 12_000, heal)
+
+    def _platform_down(self) -> None:
+        self._loop.note("platform down")
+        self._cluster.store.down = True
+
+        def heal() -> None:
+            self._loop.note("platform up")
+            self._cluster.store.down = False
+
+        self._last(500, 15_000, heal)
+
+    def _platform_slow(self) -> None:
+        self._loop.note("platform slow")
+        self._cluster.store.slow_ms = 3_000
+        self._last(1_000, 10_000, lambda: setattr(self._cluster.store, "slow_ms", 0))
+
+    def _platform_loses(self) -> None:
+        self._loop.note("platform loses answers")
+        self._cluster.store.lost_answers = 0.4
+        self._last(1_000, 10_000, lambda: setattr(self._cluster.store, "lost_answers", 0.0))
+
+    def _kill_member(self) -> None:
+        host = self._pick_member()
+        if host.reachable:
+            host.kill()
+            self._last(300, 12_000, host.start)
+
+    def _pause_member(self) -> None:
+        host = self._pick_member()
+        if not host.reachable:
+            return
+        host.paused = True
+        self._loop.note("member paused", host.place.name)
+
+        def heal() -> None:
+            self._loop.note("member resumed", host.place.name)
+            if host.paused:
+                host.resume()
+
+        self._last(300, 6_000, heal)
+
+    def _lag_member(self) -> None:
+        host = self._pick_member()
+        host.member.lag_ms = self._rng.choice((50, 500, 3_000))
+        self._loop.note("member lags", host.place.name, host.member.lag_ms)
+        self._last(1_000, 10_000, lambda: setattr(host.member, "lag_ms", 0))
+
+    def _stick_member(self) -> None:
+        host = self._pick_member()
+        host.member.queue.stuck = True
+        self._loop.note("member stuck", host.place.name)
+
+        def heal() -> None:
+            host.member.queue.stuck = False
+            host.pump()
+
+        self._last(500, 6_000, heal)
+
+    def _lose_member_answers(self) -> None:
+        host = self._pick_member()
+        host.loses_answers = 0.2
+        self._last(500, 5_000, lambda: setattr(host, "loses_answers", 0.0))
+
+    def _kill_node(self) -> None:
+        cluster = self._cluster
+        if len(cluster.nodes) <= cluster.plan.nodes - 2:
+            return
+        host = self._rng.choice(cluster.nodes)
+        seeds = [other.info for other in cluster.nodes]
+        keeps_name = self._rng.random() < 0.5
+        cluster.stop_node(host)
+
+        def replace() -> None:
+            info = host.info if keeps_name else cluster.make_info(host.info.domain)
+            cluster.start_node(info, seeds)
+
+        self._last(500, 5_000, replace)
+
+    def _pause_node(self) -> None:
+        host = self._rng.choice(self._cluster.nodes)
+        duration_ms = self._rng.choice((300, 1_000, 3_000, 9_000, 14_000))
+        host.pause(duration_ms)
+        self._last(duration_ms, duration_ms, lambda: None)
+
+    def _lossy_links(self) -> None:
+        self._cluster.links.loss = self._rng.choice((0.02, 0.1, 0.3))
+        self._loop.note("lossy links", self._cluster.links.loss)
+        self._last(1_000, 10_000, lambda: setattr(self._cluster.links, "loss", 0.0))
+
+    def _start_flood(self) -> None:
+        rank = self._rng.choice(self._service.ranks).name
+        self._loop.note("flood", rank)
+        self._flood.start(rank, 0.5, self._rng.randint(500, 2_000))
+
+    def _change_ticket(self) -> None:
+        self._service = change_target(self._service, self._rng.randint(500, 3_000))
+        self._submitter.submit({self._service.name: self._service}, self.note_ticket)
+
+    def _compete(self) -> None:
+        for _ in range(2):
+            service = change_target(self._service, self._rng.randint(500, 3_000))
+            self._submitter.submit({service.name: service}, self.note_ticket)
+
+    def _leave_by_ticket(self) -> None:
+        database = self._rng.choice(self._service.databases)
+        member = self._rng.choice(database.members).name
+        leaving = mark_leaving(self._service, member, leaving=True)
+        since = self._cluster.leaving_since_ms
+
+        def accepted(result: SubmissionResult, now_ms: int) -> None:
+            self.note_ticket(result, now_ms)
+            if not isinstance(result, Accepted):
+                return
+            self._loop.note("leaving", member)
+            since[member] = now_ms
+            self._loop.after(CALM_MS - LEAVING_LIMIT_MS, back)
+
+        def back() -> None:
+            since.pop(member, None)
+            self._submitter.submit({self._service.name: self._service}, self.note_ticket)
+
+        self._submitter.submit({leaving.name: leaving}, accepted)
+
+    def _drain(self) -> None:
+        self.drain(self._rng.choice(self._cluster.nodes))
+
+    def drain(self, host: NodeHost) -> None:
+        """Shut a node down gracefully and replace it; no request may be cut off."""
+        cluster = self._cluster
+        start_ms = self._loop.now_ms
+        host.deliver(DrainRequested())
+        self._loop.note("drain", host.info.node)
+
+        def look() -> None:
+            if not host.alive:
+                return
+            if not host.drained and self._loop.now_ms - start_ms < DRAIN_LIMIT_MS:
+                self._loop.after(CHECK_MS, look)
+                return
+            if not host.drained:
+                cluster.invariants.report("I8", f"{host.info.node} did not end its drain")
+            waiting = cluster.count_waiting(host)
+            if waiting:
+                text = f"{host.info.node} ended its drain with {waiting} requests in flight"
+                cluster.invariants.report("I8", text)
+            cluster.stop_node(host)
+            seeds = [other.info for other in cluster.nodes]
+            cluster.start_node(cluster.make_info(host.info.domain), seeds)
+
+        look()
--- /dev/null
+++ b/libs/bench/burdockrun_bench/cluster.py
@@ -0,0 +1,295 @@
+"""Virtual cluster: nodes, database members, platform, links and callers."""
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from burdockrun_endpoint import DatabaseMember, EntryLog
+from burdockrun_messages import (
+    CallerGone,
+    Database,
+    Member,
+    MemberRole,
+    NodeInfo,
+    RequestReceived,
+    SendExecute,
+    Service,
+    StatementAnswer,
+    StatementRequest,
+    TransactionStep,
+    VmEntry,
+)
+
+from burdockrun_bench.const import LEAVING_LIMIT_MS
+from burdockrun_bench.invariants import Invariants
+from burdockrun_bench.links import Links
+from burdockrun_bench.loop import VirtualLoop
+from burdockrun_bench.member_host import MemberHost
+from burdockrun_bench.node_host import Node, NodeHost
+from burdockrun_bench.store_host import StoreHost
+
+OnAnswer = Callable[[StatementAnswer | None], None]
+MakeNode = Callable[[NodeInfo, Sequence[NodeInfo], int, random.Random], Node]
+ReadTicket = Callable[[Node], int]
+
+
+@dataclass(kw_only=True, slots=True)
+class Caller:
+    """Request of a caller that waits for its answer."""
+
+    host: NodeHost
+    request: StatementRequest
+    on_answer: OnAnswer
+    sent_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClusterPlan:
+    """Size and delays of a cluster."""
+
+    domains: tuple[str, ...]
+    nodes: int
+    one_way_ms: int
+    client_ms: int
+    services: tuple[Service, ...]
+    service_ms: float = 4.0
+
+
+class Cluster:
+    """All processes of one run; `make_node` builds a node from its address and the seeds."""
+
+    def __init__(
+        self,
+        plan: ClusterPlan,
+        seed: int,
+        make_node: MakeNode,
+        *,
+        read_ticket: ReadTicket | None = None,
+        strict: bool = False,
+        start_ms: int = 100_000,
+    ) -> None:
+        self.plan = plan
+        self.rng = random.Random(seed)
+        self.loop = VirtualLoop(start_ms)
+        self.links = Links(random.Random(seed + 1), plan.one_way_ms)
+        self.store = StoreHost(self.loop, self.links, random.Random(seed + 2))
+        self.invariants = Invariants(self.loop, self.find_primary_log, strict=strict)
+        self.databases: dict[str, Database] = {}
+        self.members: dict[str, MemberHost] = {}
+        self.nodes: list[NodeHost] = []
+        self.leaving_since_ms: dict[str, int] = {}
+        self.disturbed_ms = 0
+        self._make_node = make_node
+        self._read_ticket = read_ticket
+        self._callers: dict[int, Caller] = {}
+        self._next_id = 1
+        self._next_node = 1
+        for service in plan.services:
+            for database in service.databases:
+                self._add_database(database)
+        self.store.on_put = self._note_put
+
+    def start_nodes(self) -> None:
+        """Start the planned nodes, spread over the domains."""
+        infos = [self.make_info() for _ in range(self.plan.nodes)]
+        for info in infos:
+            self.start_node(info, infos)
+
+    def make_info(self, domain: str | None = None) -> NodeInfo:
+        """Return the address of a new node."""
+        number, self._next_node = self._next_node, self._next_node + 1
+        domains = self.plan.domains
+        return NodeInfo(
+            node=f"vm{number}",
+            domain=domain or domains[number % len(domains)],
+            host=f"10.1.{number // 250}.{number % 250 + 1}",
+            port=7000,
+        )
+
+    def start_node(self, info: NodeInfo, seeds: Sequence[NodeInfo]) -> NodeHost:
+        """Start one node."""
+        others = [seed for seed in seeds if seed.node != info.node]
+        node_rng = random.Random(self.rng.getrandbits(64))
+        node = self._make_node(info, others, self.loop.now_ms, node_rng)
+        host = NodeHost(self, info, node)
+        self.nodes.append(host)
+        self.loop.note("node up", info.node, info.domain)
+        host.start()
+        self.publish_vms()
+        return host
+
+    def stop_node(self, host: NodeHost) -> None:
+        """End a node at once; its callers lose their answers."""
+        host.kill()
+        self.nodes.remove(host)
+        self.publish_vms()
+        for caller_id, caller in list(self._callers.items()):
+            if caller.host is host:
+                self._lose(caller_id)
+
+    def publish_vms(self) -> None:
+        """Tell the platform which VMs exist."""
+        vms = [
+            VmEntry(
+                name=host.info.node,
+                domain=host.info.domain,
+                host=host.info.host,
+                port=host.info.port,
+                kind="entry",
+            )
+            for host in self.nodes
+        ]
+        for database in self.databases.values():
+            vms += [
+                VmEntry(
+                    name=member.name,
+                    domain=member.domain,
+                    host=member.host,
+                    port=member.port,
+                    kind="endpoint",
+                    leaving=member.name in self.leaving_since_ms,
+                )
+                for member in database.members
+            ]
+        self.store.store.set_vms(tuple(vms), self.loop.now_ms)
+
+    def send(self, host: NodeHost, request: StatementRequest, on_answer: OnAnswer) -> None:
+        """Send a request of a caller; `on_answer` gets None when the answer is lost."""
+        caller_id = self.take_connection_id()
+        self._callers[caller_id] = Caller(
+            host=host, request=request, on_answer=on_answer, sent_ms=self.loop.now_ms
+        )
+
+        def arrive() -> None:
+            if not host.alive:
+                self._lose(caller_id)
+                return
+            self.loop.note("request", host.info.node, request.request_id, request.statement)
+            host.deliver(RequestReceived(caller_id=caller_id, request=request))
+
+        self.loop.after(self.plan.client_ms, arrive)
+
+    def give_up(self, host: NodeHost, caller_id: int) -> None:
+        """Tell a node that a caller no longer waits."""
+        host.deliver(CallerGone(caller_id=caller_id))
+
+    def list_overdue(self, margin_ms: int) -> list[StatementRequest]:
+        """Return the requests without an answer long after their deadline."""
+        now_ms = self.loop.now_ms
+        return [
+            caller.request
+            for caller in self._callers.values()
+            if now_ms > caller.sent_ms + caller.request.deadline_ms + margin_ms
+        ]
+
+    def count_waiting(self, host: NodeHost) -> int:
+        """Return how many callers wait for a node."""
+        return sum(1 for caller in self._callers.values() if caller.host is host)
+
+    def find_primary(self, database: str) -> MemberHost | None:
+        """Return the primary with the greatest term whose start is confirmed, up or down."""
+        found: MemberHost | None = None
+        for member in self.databases[database].members:
+            host = self.members[member.name]
+            if host.member.role is not MemberRole.PRIMARY or not is_confirmed(host.member):
+                continue
+            if found is None or host.member.term > found.member.term:
+                found = host
+        return found
+
+    def find_primary_log(self, database: str) -> EntryLog | None:
+        """Return the log of the present primary."""
+        host = self.find_primary(database)
+        return None if host is None else host.member.log
+
+    def find_member(self, name: str) -> MemberHost | None:
+        """Return the host of a member."""
+        return self.members.get(name)
+
+    def find_node(self, info: NodeInfo) -> NodeHost | None:
+        """Return the live host with this address."""
+        return next((host for host in self.nodes if host.info == info), None)
+
+    def take_connection_id(self) -> int:
+        """Return an id that is unique in the cluster."""
+        self._next_id += 1
+        return self._next_id
+
+    def connection_opened(self, host: MemberHost) -> None:
+        """Check the connection limit of the member's database."""
+        database = self.databases[host.database]
+        count = sum(len(self.members[m.name].member.connections) for m in database.members)
+        if count > database.connections:
+            for member in database.members:
+                peer = self.members[member.name]
+                self.loop.note("connections", member.name, peer.describe_connections())
+        self.invariants.note_connections(host.database, count, database.connections)
+
+    def statement_sent(self, host: NodeHost, action: SendExecute, member: str) -> None:
+        """Check that a leaving member gets no new work."""
+        since_ms = self.leaving_since_ms.get(member)
+        if since_ms is None or self.disturbed_ms >= since_ms - LEAVING_LIMIT_MS:
+            return
+        if action.message.step not in (None, TransactionStep.BEGIN):
+            return
+        late_ms = self.loop.now_ms - since_ms
+        if late_ms > LEAVING_LIMIT_MS:
+            self.invariants.note_late_work(member, late_ms, action.message.statement)
+
+    def answer_sent(self, host: NodeHost, caller_id: int, answer: StatementAnswer) -> None:
+        """Check an answer and pass it to its caller."""
+        caller = self._callers.pop(caller_id, None)
+        if caller is None:
+            return
+        self.loop.note("answer", host.info.node, answer)
+        self.invariants.note_answer(caller_id, caller.request, answer)
+        self.loop.after(self.plan.client_ms, lambda: caller.on_answer(answer))
+
+    def event_handled(self, host: NodeHost) -> None:
+        """Check the ticket in force at a node."""
+        if self._read_ticket is not None:
+            self.invariants.note_in_force(host.process, host.info.node, self.read_ticket(host))
+
+    def read_ticket(self, host: NodeHost) -> int:
+        """Return the ticket in force at a node, 0 when it can't be read."""
+        return 0 if self._read_ticket is None else self._read_ticket(host.node)
+
+    def _lose(self, caller_id: int) -> None:
+        caller = self._callers.pop(caller_id, None)
+        if caller is None:
+            return
+        self.invariants.note_lost_answer(caller.request)
+        self.loop.after(self.plan.client_ms, lambda: caller.on_answer(None))
+
+    def _add_database(self, database: Database) -> None:
+        self.databases[database.name] = database
+        for member in database.members:
+            self.members[member.name] = self._make_member(database, member)
+
+    def _make_member(self, database: Database, member: Member) -> MemberHost:
+        model = DatabaseMember(
+            member.name,
+            member.domain,
+            database.slots,
+            self.plan.service_ms,
+            random.Random(self.rng.getrandbits(64)),
+        )
+        host = MemberHost(database.name, model, self.loop, self.links, self.find_member)
+        host.on_promoted = self._note_promoted
+        return host
+
+    def _note_promoted(self, host: MemberHost) -> None:
+        member = host.member
+        self.invariants.note_promoted(host.database, member.name, member.term, member.log)
+
+    def _note_put(self, key: str, value: str) -> None:
+        prefix, _, number = key.partition("/")
+        if prefix == "tickets" and number.isdigit():
+            self.invariants.note_ticket(int(number), value)
+
+
+def is_confirmed(member: DatabaseMember) -> bool:
+    """Return whether a majority holds the start entry of a primary's term."""
+    if member.confirmed_index == 0:
+        return False
+    return member.log.position(member.confirmed_index).term == member.term
--- /dev/null
+++ b/libs/bench/burdockrun_bench/invariants.py
@@ -0,0 +1,227 @@
+"""Checks of what must always hold, made while a virtual cluster runs."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from burdockrun_endpoint import EntryLog
+from burdockrun_messages import (
+    Access,
+    Code,
+    JsonValue,
+    LogPosition,
+    Outcome,
+    StatementAnswer,
+    StatementRequest,
+    TransactionStep,
+)
+
+from burdockrun_bench.loop import VirtualLoop
+
+Changes = tuple[tuple[str, JsonValue], ...]
+
+
+class InvariantError(AssertionError):
+    """Raised for the first violation when the checks are strict."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Violation:
+    """Broken invariant with the trace of the last events."""
+
+    invariant: str
+    at_ms: int
+    text: str
+    trace: tuple[str, ...]
+
+
+@dataclass(kw_only=True, slots=True)
+class Ledger:
+    """What callers were told about the requests to one database.
+
+    Keys are request ids as stored by the database. `expected` holds the changes that a request
+    makes, or None when they depend on the data.
+    """
+
+    expected: dict[str, Changes | None] = field(default_factory=dict)
+    acknowledged: dict[str, LogPosition] = field(default_factory=dict)
+    not_run: set[str] = field(default_factory=set)
+    unknown: set[str] = field(default_factory=set)
+
+
+class Invariants:
+    """Counts violations; `strict` raises at the first one.
+
+    `find_log` returns the log of the primary with the greatest confirmed term of a database.
+    """
+
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        find_log: Callable[[str], EntryLog | None],
+        *,
+        strict: bool = False,
+    ) -> None:
+        self.violations: list[Violation] = []
+        self.outcomes: Counter[Outcome] = Counter()
+        self.codes: Counter[str] = Counter()
+        self.acknowledged_writes = 0
+        self.failovers = 0
+        self._loop = loop
+        self._find_log = find_log
+        self._strict = strict
+        self._ledgers: dict[str, Ledger] = {}
+        self._primaries: dict[tuple[str, int], str] = {}
+        self._tickets: dict[int, str] = {}
+        self._seen_tickets: dict[int, int] = {}
+        self._answered: set[int] = set()
+
+    def report(self, invariant: str, text: str) -> None:
+        """Count a violation, once for each text."""
+        if any(item.text == text for item in self.violations):
+            return
+        trace = tuple(self._loop.format_trace())
+        violation = Violation(invariant=invariant, at_ms=self._loop.now_ms, text=text, trace=trace)
+        self.violations.append(violation)
+        if self._strict:
+            raise InvariantError(f"{invariant} at {self._loop.now_ms} ms: {text}")
+
+    def note_request(self, request: StatementRequest, changes: Changes | None) -> None:
+        """Register a request before it is sent, with the changes that it makes."""
+        self._ledger(request.database).expected[scope(request)] = changes
+
+    def note_answer(
+        self, caller_id: int, request: StatementRequest, answer: StatementAnswer
+    ) -> None:
+        """Check one answer when a node sends it (I2, I4, I5)."""
+        if caller_id in self._answered:
+            self.report("I4", f"{scope(request)} was answered twice")
+        self._answered.add(caller_id)
+        if answer.request_id != request.request_id:
+            self.report("I4", f"{scope(request)} got the answer to {answer.request_id}")
+        self.outcomes[answer.outcome] += 1
+        self.codes[answer.code] += 1
+        if not is_recorded(request):
+            return
+        ledger = self._ledger(request.database)
+        identifier = scope(request)
+        if answer.outcome is Outcome.DONE:
+            self._check_acknowledged(ledger, request, answer)
+        elif answer.outcome is Outcome.UNKNOWN:
+            ledger.unknown.add(identifier)
+        elif answer.code is not Code.DUPLICATE_CONFLICT and identifier not in ledger.unknown:
+            ledger.not_run.add(identifier)
+
+    def note_lost_answer(self, request: StatementRequest) -> None:
+        """Note that the caller of a request will never know its outcome."""
+        self._ledger(request.database).unknown.add(scope(request))
+
+    def note_read(self, text: str, result: JsonValue, allowed: set[JsonValue]) -> None:
+        """Check that a session reads its own writes (I1)."""
+        if result not in allowed:
+            self.report("I1", f"{text} returned {result!r}, allowed {sorted(map(str, allowed))}")
+
+    def note_result(self, text: str, result: JsonValue, expected: JsonValue) -> None:
+        """Check that an answer holds the result of its own request (I4)."""
+        if result != expected:
+            self.report("I4", f"{text} returned {result!r}, expected {expected!r}")
+
+    def note_promoted(self, database: str, member: str, term: int, log: EntryLog) -> None:
+        """Check a new primary: one for each term, with every acknowledged write (I2, I6, I10)."""
+        known = self._primaries.setdefault((database, term), member)
+        if known != member:
+            self.report("I10", f"{database} term {term} has primaries {known} and {member}")
+        if any(name == database and other < term for name, other in self._primaries):
+            self.failovers += 1
+        self._check_log(database, f"primary {member} of term {term}", log)
+
+    def note_ticket(self, number: int, text: str) -> None:
+        """Check a committed ticket: no gap and only one for each number (I10)."""
+        if number in self._tickets:
+            self.report("I10", f"ticket {number} was committed twice")
+        if self._tickets and number != max(self._tickets) + 1:
+            self.report("I10", f"ticket {number} follows ticket {max(self._tickets)}")
+        self._tickets[number] = text
+
+    def note_in_force(self, process: int, node: str, number: int) -> None:
+        """Check that the ticket in force at a process never reverts (I9)."""
+        if number < self._seen_tickets.get(process, 0):
+            self.report("I9", f"{node} went from {self._seen_tickets[process]} to {number}")
+        self._seen_tickets[process] = number
+
+    def note_late_ticket(self, node: str, number: int, late_ms: int) -> None:
+        """Report a ticket that is not in force in time (I9)."""
+        self.report("I9", f"{node} does not have ticket {number} after {late_ms} ms")
+
+    def note_connections(self, database: str, count: int, limit: int) -> None:
+        """Check the number of connections open to a database (I11)."""
+        if count > limit:
+            self.report("I11", f"{database} has {count} connections, limit {limit}")
+
+    def note_late_work(self, member: str, late_ms: int, statement: str) -> None:
+        """Report work sent to a member that has been leaving for too long (I7)."""
+        self.report("I7", f"{member} got {statement!r} {late_ms} ms after it began to leave")
+
+    def check_end(self, database: str, log: EntryLog) -> None:
+        """Check the log of the last primary after all faults have ended (I2, I3, I5, I6)."""
+        self._check_log(database, "last primary", log)
+        ledger = self._ledger(database)
+        for identifier in sorted(ledger.not_run):
+            index = log.find_request(identifier)
+            if index is not None and not log.entry(index).tombstone:
+                self.report("I5", f"{identifier} was answered not_run and is entry {index}")
+
+    def _check_acknowledged(
+        self, ledger: Ledger, request: StatementRequest, answer: StatementAnswer
+    ) -> None:
+        identifier = scope(request)
+        position = LogPosition(term=answer.term or 0, index=answer.index or 0)
+        if identifier not in ledger.acknowledged:
+            self.acknowledged_writes += 1
+        ledger.acknowledged[identifier] = position
+        log = self._find_log(request.database)
+        if log is None:
+            return
+        index = log.find_request(identifier)
+        if index is None:
+            self.report("I2", f"{identifier} acknowledged by a superseded primary at {position}")
+        elif index != position.index:
+            self.report("I2", f"{identifier} acknowledged at {position}, stored at {index}")
+
+    def _check_log(self, database: str, owner: str, log: EntryLog) -> None:
+        ledger = self._ledger(database)
+        for identifier, position in ledger.acknowledged.items():
+            if log.find_request(identifier) is None:
+                self.report("I2", f"{identifier} acknowledged at {position}, not at the {owner}")
+        seen: set[str] = set()
+        for entry in log.entries:
+            identifier = entry.request_id or ""
+            if not identifier:
+                continue
+            if identifier in seen:
+                self.report("I6", f"{identifier} is twice in the log of the {owner}")
+            seen.add(identifier)
+            if entry.tombstone:
+                continue
+            if identifier not in ledger.expected:
+                self.report("I6", f"{identifier} was never requested, {owner}")
+                continue
+            expected = ledger.expected[identifier]
+            found = tuple((change.key, change.value) for change in entry.changes)
+            if expected is not None and found != expected:
+                self.report("I3", f"{identifier} changed {found}, expected {expected}")
+
+    def _ledger(self, database: str) -> Ledger:
+        return self._ledgers.setdefault(database, Ledger())
+
+
+def scope(request: StatementRequest) -> str:
+    """Return the request id as the database stores it."""
+    return f"{request.account}:{request.request_id}"
+
+
+def is_recorded(request: StatementRequest) -> bool:
+    """Return whether the request gets an entry of its own in the log."""
+    if request.step is not None:
+        return request.step is TransactionStep.COMMIT
+    return request.access is Access.WRITE
--- /dev/null
+++ b/libs/bench/burdockrun_bench/member_host.py
@@ -0,0 +1,270 @@
+"""A database member in virtual time: data connections, control port and replication."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from burdockrun_endpoint import (
+    PULL_WAIT_MS,
+    DatabaseMember,
+    EntryBatch,
+    PullEntries,
+    has_news,
+)
+from burdockrun_messages import (
+    AwaitConfirmed,
+    ControlOperation,
+    ControlReply,
+    Execute,
+    ExecuteAnswer,
+    MemberRole,
+)
+
+from burdockrun_bench.const import PULL_TIMEOUT_MS
+from burdockrun_bench.links import Links, Place
+from burdockrun_bench.loop import VirtualLoop
+
+OnAnswer = Callable[[ExecuteAnswer], None]
+OnControl = Callable[[ControlReply], None]
+OnBatch = Callable[[EntryBatch | None], None]
+
+
+@dataclass(kw_only=True, slots=True)
+class Wait:
+    """`AwaitConfirmed` that is not over."""
+
+    operation: AwaitConfirmed
+    round_number: int
+    end_ms: int
+    reply: OnControl
+
+
+@dataclass(kw_only=True, slots=True)
+class HeldPull:
+    """Pull that waits for entries."""
+
+    pull: PullEntries
+    arrived_ms: int
+    reply: OnBatch
+
+
+class MemberHost:
+    """Runs one member; while it is paused or down, nothing reaches it.
+
+    `find_peer` returns the host of another member of the database.
+    """
+
+    def __init__(
+        self,
+        database: str,
+        member: DatabaseMember,
+        loop: VirtualLoop,
+        links: Links,
+        find_peer: Callable[[str], "MemberHost | None"],
+    ) -> None:
+        self.database = database
+        self.member = member
+        self.place = Place(name=member.name, domain=member.domain)
+        self.alive = True
+        self.paused = False
+        self.loses_answers = 0.0
+        self.on_promoted: Callable[[MemberHost], None] | None = None
+        self.owners: dict[int, object] = {}
+        self.on_lost: dict[int, Callable[[], None]] = {}
+        self._loop = loop
+        self._links = links
+        self._find_peer = find_peer
+        self._rng = random.Random(member.name)
+        self._answers: dict[int, OnAnswer] = {}
+        self._waits: list[Wait] = []
+        self._held: dict[str, HeldPull] = {}
+        self._timer_ms: int | None = None
+        self._pull_number = 0
+        self._backlog: list[Callable[[], None]] = []
+
+    @property
+    def reachable(self) -> bool:
+        """Return whether the process runs and answers."""
+        return self.alive and not self.paused
+
+    def receive(self, call: Callable[[], None]) -> None:
+        """Carry out what has arrived; a paused process does so when it runs on."""
+        if self.paused:
+            self._backlog.append(call)
+        elif self.alive:
+            call()
+
+    def open(self, connection_id: int, on_answer: OnAnswer, on_lost: Callable[[], None]) -> bool:
+        """Open a data connection; `on_lost` is called when the member breaks it."""
+        if not self.member.open(connection_id):
+            return False
+        self._answers[connection_id] = on_answer
+        self.on_lost[connection_id] = on_lost
+        return True
+
+    def close(self, connection_id: int) -> None:
+        """Close a data connection."""
+        self._answers.pop(connection_id, None)
+        self.on_lost.pop(connection_id, None)
+        self.owners.pop(connection_id, None)
+        self.member.close(connection_id)
+
+    def describe_connections(self) -> str:
+        """Return how many connections each owner has."""
+        counts = Counter(str(self.owners.get(number)) for number in self._answers)
+        return ", ".join(f"{owner}: {count}" for owner, count in sorted(counts.items()))
+
+    def execute(self, connection_id: int, message: Execute) -> None:
+        """Take a statement."""
+        self.member.execute(connection_id, message, self._loop.now_ms)
+        self.pump()
+
+    def control(self, operation: ControlOperation, reply: OnControl) -> None:
+        """Take a control operation; `reply` is called when it ends."""
+        if isinstance(operation, AwaitConfirmed):
+            number = self.member.begin_wait(operation)
+            end_ms = self._loop.now_ms + operation.wait_ms
+            wait = Wait(operation=operation, round_number=number, end_ms=end_ms, reply=reply)
+            self._waits.append(wait)
+            self._loop.at(end_ms, self._look)
+            self._look()
+            return
+        before = (self.member.term, self.member.role)
+        result = self.member.control(operation, self._loop.now_ms)
+        if (self.member.term, self.member.role) != before:
+            self._role_changed()
+        reply(result)
+        self.pump()
+
+    def kill(self) -> None:
+        """End the process; connections break, the log stays."""
+        self.alive = False
+        lost = list(self.on_lost.values())
+        self._answers.clear()
+        self.on_lost.clear()
+        self.member.restart()
+        self._waits.clear()
+        self._held.clear()
+        self._backlog.clear()
+        self.paused = False
+        self._pull_number += 1
+        self._loop.note("member down", self.place.name)
+        for on_lost in lost:
+            on_lost()
+
+    def start(self) -> None:
+        """Start the process again."""
+        self.alive = True
+        self._loop.note("member up", self.place.name)
+
+    def resume(self) -> None:
+        """Let a paused process run on."""
+        self.paused = False
+        backlog, self._backlog = self._backlog, []
+        for call in backlog:
+            call()
+        self.pump()
+        self.start_pulls()
+
+    def pump(self) -> None:
+        """Deliver the answers that are due and set the timer for the next."""
+        if not self.reachable:
+            return
+        for item in self.member.advance(self._loop.now_ms):
+            on_answer = self._answers.get(item.connection_id)
+            if on_answer is None:
+                continue
+            if self._rng.random() < self.loses_answers:
+                self.on_lost[item.connection_id]()
+                self.close(item.connection_id)
+                continue
+            on_answer(item.answer)
+        self._look()
+        next_ms = self.member.next_ms(self._loop.now_ms)
+        if next_ms is not None and (self._timer_ms is None or next_ms < self._timer_ms):
+            self._timer_ms = next_ms
+            self._loop.at(next_ms, self._timer)
+
+    def start_pulls(self) -> None:
+        """Follow the upstream, one pull at a time."""
+        self._pull_number += 1
+        self._pull()
+
+    def take_pull(self, pull: PullEntries, reply: OnBatch) -> None:
+        """Answer a replica's pull, at the latest after the wait of a long poll."""
+        now_ms = self._loop.now_ms
+        self._held[pull.replica] = HeldPull(pull=pull, arrived_ms=now_ms, reply=reply)
+        self._loop.after(PULL_WAIT_MS, self._look)
+        self._look()
+
+    def _timer(self) -> None:
+        self._timer_ms = None
+        self.pump()
+
+    def _role_changed(self) -> None:
+        role = self.member.role
+        self._loop.note("role", self.place.name, role.value, "term", self.member.term)
+        if role is MemberRole.PRIMARY and self.on_promoted is not None:
+            self.on_promoted(self)
+        self.start_pulls()
+
+    def _look(self) -> None:
+        """Answer the pulls and waits that are over."""
+        if not self.reachable:
+            return
+        for name, held in list(self._held.items()):
+            self._answer_pull(name, held)
+        now_ms = self._loop.now_ms
+        waits, self._waits = self._waits, []
+        for wait in waits:
+            over = self.member.is_wait_over(wait.operation, wait.round_number)
+            if over or wait.end_ms <= now_ms:
+                wait.reply(self.member.answer_wait(wait.operation, wait.round_number, now_ms))
+            else:
+                self._waits.append(wait)
+
+    def _answer_pull(self, name: str, held: HeldPull) -> None:
+        waited_ms = self._loop.now_ms - held.arrived_ms
+        batch = self.member.take_entries(held.pull, self._loop.now_ms, waited_ms)
+        if batch is None or has_news(held.pull, batch) or waited_ms >= PULL_WAIT_MS:
+            del self._held[name]
+            held.reply(batch)
+
+    def _pull(self) -> None:
+        number = self._pull_number
+        pull = self.member.make_pull() if self.reachable else None
+        upstream = self.member.upstream
+        peer = None if upstream is None else self._find_peer(upstream.primary)
+        if pull is None or peer is None:
+            return
+        sent_ms = self._loop.now_ms
+        self._loop.after(PULL_TIMEOUT_MS, lambda: self._retry(number))
+        if self._links.loses(self.place, peer.place):
+            return
+
+        def arrive() -> None:
+            peer.receive(lambda: peer.take_pull(pull, answer))
+
+        def answer(batch: EntryBatch | None) -> None:
+            if self._links.loses(peer.place, self.place):
+                return
+            delay_ms = self._links.delay_ms(peer.place, self.place)
+            self._loop.after(delay_ms, lambda: self._receive(number, batch, sent_ms))
+
+        self._loop.after(self._links.delay_ms(self.place, peer.place), arrive)
+
+    def _retry(self, number: int) -> None:
+        if number == self._pull_number:
+            self.start_pulls()
+
+    def _receive(self, number: int, batch: EntryBatch | None, sent_ms: int) -> None:
+        if number != self._pull_number or not self.reachable:
+            return
+        self.member.receive_entries(batch, sent_ms, self._loop.now_ms)
+        self._pull_number += 1
+        if batch is None:
+            again = self._pull_number
+            self._loop.after(20, lambda: self._retry(again))
+            return
+        self._pull()
--- /dev/null
+++ b/libs/bench/burdockrun_bench/node_host.py
@@ -0,0 +1,385 @@
+"""A proxy node in virtual time: carries out its actions and feeds it events."""
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from burdockrun_messages import (
+    Action,
+    CallControl,
+    CallPlatform,
+    CloseConnection,
+    ConnectionClosed,
+    ConnectionOpened,
+    ControlAnswered,
+    ControlReply,
+    DrainFinished,
+    Event,
+    ExecuteAnswer,
+    ExecuteAnswered,
+    Member,
+    NodeInfo,
+    OpenConnection,
+    PeerLost,
+    PeerReceived,
+    PlatformAnswered,
+    ProcessPaused,
+    RecordLog,
+    SendAnswer,
+    SendExecute,
+    SendPeer,
+    Started,
+    StatementAnswer,
+    TimerFired,
+    WakeAt,
+)
+
+from burdockrun_bench.const import BROKEN_NOTICED_MS, OPEN_MS, TICK_MS
+from burdockrun_bench.links import Links, Place
+from burdockrun_bench.loop import VirtualLoop
+from burdockrun_bench.member_host import MemberHost
+from burdockrun_bench.store_host import StoreHost
+
+
+class Node(Protocol):
+    """Proxy node of any version."""
+
+    def handle(self, event: Event, now_ms: int) -> list[Action]:
+        """Take one event and return the actions that follow from it."""
+        ...
+
+
+class Surroundings(Protocol):
+    """What a node host needs of its cluster."""
+
+    loop: VirtualLoop
+    links: Links
+    store: StoreHost
+    rng: random.Random
+
+    def find_member(self, name: str) -> MemberHost | None:
+        """Return the host of a member."""
+        ...
+
+    def find_node(self, info: NodeInfo) -> "NodeHost | None":
+        """Return the live host with this address."""
+        ...
+
+    def take_connection_id(self) -> int:
+        """Return a connection id that is unique in the cluster."""
+        ...
+
+    def connection_opened(self, host: MemberHost) -> None:
+        """Note that a member has one more connection."""
+        ...
+
+    def statement_sent(self, host: "NodeHost", action: SendExecute, member: str) -> None:
+        """Note that a node sends a statement."""
+        ...
+
+    def answer_sent(self, host: "NodeHost", caller_id: int, answer: StatementAnswer) -> None:
+        """Note that a node answers a caller."""
+        ...
+
+    def event_handled(self, host: "NodeHost") -> None:
+        """Note that a node has handled an event."""
+        ...
+
+
+class DataLink:
+    """One data connection as its node sees it; messages keep their order."""
+
+    def __init__(self, node: str, connection_id: int, member: Member, host: MemberHost) -> None:
+        self.node = node
+        self.connection_id = connection_id
+        self.member = member
+        self.host = host
+        self.last_ms = 0
+        self.closed = False
+
+    def __str__(self) -> str:
+        """Return the node and whether it has closed its end."""
+        return f"{self.node} closing" if self.closed else self.node
+
+
+class NodeHost:
+    """Runs one node until it is killed."""
+
+    def __init__(self, world: Surroundings, info: NodeInfo, node: Node) -> None:
+        self.info = info
+        self.node = node
+        self.place = Place(name=info.node, domain=info.domain)
+        self.alive = True
+        self.paused = False
+        self.drained = False
+        self.started_ms = world.loop.now_ms
+        self.process = world.take_connection_id()
+        self._world = world
+        self._loop = world.loop
+        self._links = world.links
+        self._queue: list[Event] = []
+        self._data: dict[int, DataLink] = {}
+        self._paused_ms = 0
+        self._performers: dict[type, Callable[[object], None]] = {
+            SendAnswer: self._send_answer,
+            OpenConnection: self._open,
+            CloseConnection: self._close,
+            SendExecute: self._execute,
+            CallControl: self._call_control,
+            SendPeer: self._send_peer,
+            CallPlatform: self._call_platform,
+            WakeAt: self._wake_at,
+            RecordLog: self._record_log,
+            DrainFinished: self._drain_finished,
+        }
+
+    def start(self) -> None:
+        """Tell the node that it runs and start its timer."""
+        self.deliver(Started())
+        self._loop.after(self._world.rng.randint(1, TICK_MS), self._tick)
+
+    def deliver(self, event: Event) -> None:
+        """Hand an event to the node, after a pause if there is one."""
+        if not self.alive:
+            return
+        if self.paused:
+            self._queue.append(event)
+            return
+        for action in self.node.handle(event, self._loop.now_ms):
+            performer = self._performers.get(type(action))
+            if performer is not None:
+                performer(action)
+        self._world.event_handled(self)
+
+    def pause(self, duration_ms: int) -> None:
+        """Stop the process for a while."""
+        if self.paused or not self.alive:
+            return
+        self.paused = True
+        self._paused_ms = self._loop.now_ms
+        self._loop.note("node paused", self.info.node, duration_ms)
+        self._loop.after(duration_ms, self._resume)
+
+    def kill(self) -> None:
+        """End the process; its connections break."""
+        self.alive = False
+        self._loop.note("node down", self.info.node)
+        for link in self._data.values():
+            self._close_at_member(link)
+
+    def _resume(self) -> None:
+        if not self.alive:
+            return
+        self.paused = False
+        queue, self._queue = self._queue, []
+        noticed: list[Event] = [
+            ProcessPaused(gap_ms=self._loop.now_ms - self._paused_ms),
+            TimerFired(),
+        ]
+        # The loop of a resumed process may find its input before or after its timer.
+        ordered = noticed + queue if self._world.rng.random() < 0.5 else queue + noticed
+        self._loop.note("node resumed", self.info.node)
+        for event in ordered:
+            self.deliver(event)
+
+    def _tick(self) -> None:
+        if not self.alive:
+            return
+        if not self.paused:
+            self.deliver(TimerFired())
+        self._loop.after(TICK_MS, self._tick)
+
+    def _send_answer(self, action: object) -> None:
+        assert isinstance(action, SendAnswer)
+        self._world.answer_sent(self, action.caller_id, action.answer)
+
+    def _open(self, action: object) -> None:
+        assert isinstance(action, OpenConnection)
+        node_id = action.connection_id
+        host = self._world.find_member(action.member.name)
+        if host is None or self._links.is_cut(self.place, host.place):
+            closed = ConnectionClosed(connection_id=node_id, reason="no route")
+            self._loop.after(BROKEN_NOTICED_MS, lambda: self.deliver(closed))
+            return
+        link = DataLink(self.info.node, self._world.take_connection_id(), action.member, host)
+        self._data[node_id] = link
+        self._send_on(node_id, link, lambda: self._open_at_member(node_id, link))
+
+    def _open_at_member(self, node_id: int, link: DataLink) -> None:
+        if link.closed or not self.alive:
+            return
+        host = link.host
+        host.owners[link.connection_id] = link
+        opened = host.open(
+            link.connection_id,
+            lambda answer: self._answer(node_id, link, answer),
+            lambda: self._lost(node_id, "closed by the member"),
+        )
+        if not opened:
+            self._lost(node_id, "refused")
+            return
+        self._world.connection_opened(host)
+        event = ConnectionOpened(connection_id=node_id)
+        delay_ms = OPEN_MS + self._links.delay_ms(host.place, self.place)
+        self._loop.after(delay_ms, lambda: self._deliver_on(node_id, event))
+
+    def _close(self, action: object) -> None:
+        assert isinstance(action, CloseConnection)
+        node_id = action.connection_id
+        link = self._data.pop(node_id, None)
+        if link is not None:
+            self._close_at_member(link, ConnectionClosed(connection_id=node_id, reason="closed"))
+
+    def _close_at_member(self, link: DataLink, closed: ConnectionClosed | None = None) -> None:
+        link.closed = True
+        delay_ms = BROKEN_NOTICED_MS
+        if not self._links.is_cut(self.place, link.host.place):
+            delay_ms = self._links.delay_ms(self.place, link.host.place)
+        at_ms = max(self._loop.now_ms + delay_ms, link.last_ms)
+
+        def close() -> None:
+            link.host.close(link.connection_id)
+            if closed is not None:
+                back_ms = self._links.delay_ms(link.host.place, self.place)
+                self._loop.after(back_ms, lambda: self.deliver(closed))
+
+        self._loop.at(at_ms, close)
+
+    def _execute(self, action: object) -> None:
+        assert isinstance(action, SendExecute)
+        link = self._data.get(action.connection_id)
+        if link is None:
+            return
+        self._world.statement_sent(self, action, link.member.name)
+        self._loop.note(
+            "execute",
+            self.info.node,
+            link.member.name,
+            action.message.statement,
+            action.message.request_id,
+            action.message.term,
+        )
+        self._send_on(
+            action.connection_id,
+            link,
+            lambda: link.host.execute(link.connection_id, action.message),
+        )
+
+    def _answer(self, node_id: int, link: DataLink, answer: ExecuteAnswer) -> None:
+        if self._links.is_cut(link.host.place, self.place):
+            self._break(node_id, link)
+            return
+        event = ExecuteAnswered(connection_id=node_id, answer=answer)
+        delay_ms = self._links.delay_ms(link.host.place, self.place)
+        self._loop.after(delay_ms, lambda: self._deliver_on(node_id, event))
+
+    def _send_on(self, node_id: int, link: DataLink, arrive: Callable[[], None]) -> None:
+        """Deliver to the member in order; a cut breaks the connection."""
+        if self._links.is_cut(self.place, link.host.place):
+            self._break(node_id, link)
+            return
+
+        def deliver() -> None:
+            if link.host.alive:
+                link.host.receive(arrive)
+            else:
+                self._lost(node_id, "the member is down")
+
+        at_ms = self._loop.now_ms + self._links.delay_ms(self.place, link.host.place)
+        link.last_ms = max(at_ms, link.last_ms)
+        self._loop.at(link.last_ms, deliver)
+
+    def _break(self, node_id: int, link: DataLink) -> None:
+        def notice() -> None:
+            link.host.close(link.connection_id)
+            self._deliver_lost(node_id, "connection broken")
+
+        self._loop.after(BROKEN_NOTICED_MS, notice)
+
+    def _lost(self, node_id: int, reason: str) -> None:
+        link = self._data.get(node_id)
+        if link is None:
+            return
+        delay_ms = self._links.delay_ms(link.host.place, self.place)
+        self._loop.after(delay_ms, lambda: self._deliver_lost(node_id, reason))
+
+    def _deliver_lost(self, node_id: int, reason: str) -> None:
+        if self._data.pop(node_id, None) is not None:
+            self.deliver(ConnectionClosed(connection_id=node_id, reason=reason))
+
+    def _deliver_on(self, node_id: int, event: Event) -> None:
+        if node_id in self._data:
+            self.deliver(event)
+
+    def _call_control(self, action: object) -> None:
+        assert isinstance(action, CallControl)
+        host = self._world.find_member(action.member.name)
+        answered = False
+
+        def finish(reply: ControlReply | None) -> None:
+            nonlocal answered
+            if not answered:
+                answered = True
+                self.deliver(ControlAnswered(call_id=action.call_id, reply=reply))
+
+        self._loop.after(action.timeout_ms, lambda: finish(None))
+        if host is None or self._links.loses(self.place, host.place):
+            return
+
+        def send(reply: ControlReply | None) -> None:
+            if not self._links.loses(host.place, self.place):
+                delay_ms = self._links.delay_ms(host.place, self.place)
+                self._loop.after(delay_ms, lambda: finish(reply))
+
+        def arrive() -> None:
+            if not host.alive:
+                send(None)
+                return
+            host.receive(lambda: host.control(action.operation, send))
+
+        self._loop.after(self._links.delay_ms(self.place, host.place), arrive)
+
+    def _send_peer(self, action: object) -> None:
+        assert isinstance(action, SendPeer)
+        target = Place(name=action.peer.node, domain=action.peer.domain)
+        lost = PeerLost(peer=action.peer.node)
+        if self._links.is_cut(self.place, target):
+            self._loop.after(BROKEN_NOTICED_MS, lambda: self.deliver(lost))
+            return
+        if self._links.loses(self.place, target):
+            return
+
+        def arrive() -> None:
+            host = self._world.find_node(action.peer)
+            if host is None:
+                self._loop.after(self._links.delay_ms(target, self.place), gone)
+                return
+            host.deliver(PeerReceived(peer=self.info.node, message=action.message))
+
+        def gone() -> None:
+            self.deliver(lost)
+
+        self._loop.after(self._links.delay_ms(self.place, target), arrive)
+
+    def _call_platform(self, action: object) -> None:
+        assert isinstance(action, CallPlatform)
+        self._world.store.call(
+            self.place,
+            action,
+            lambda reply: self.deliver(PlatformAnswered(call_id=action.call_id, reply=reply)),
+        )
+
+    def _wake_at(self, action: object) -> None:
+        assert isinstance(action, WakeAt)
+        self._loop.at(action.at_ms + 1, self._wake)
+
+    def _wake(self) -> None:
+        if not self.paused:
+            self.deliver(TimerFired())
+
+    def _record_log(self, action: object) -> None:
+        assert isinstance(action, RecordLog)
+        self._loop.note("log", self.info.node, action.event.name, action.fields)
+
+    def _drain_finished(self, action: object) -> None:
+        self.drained = True
--- /dev/null
+++ b/libs/bench/burdockrun_bench/workload.py
@@ -0,0 +1,283 @@
+"""Callers of a virtual cluster: sessions that roam, transactions, and floods."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from burdockrun_messages import (
+    Access,
+    JsonValue,
+    Outcome,
+    Service,
+    StatementAnswer,
+    StatementRequest,
+    TransactionStep,
+)
+
+from burdockrun_bench.cluster import Cluster
+from burdockrun_bench.invariants import Changes
+from burdockrun_bench.node_host import NodeHost
+
+Done = Callable[[StatementAnswer | None], None]
+
+
+@dataclass(kw_only=True, slots=True)
+class OwnKey:
+    """Key that only one session writes, with the values it may have.
+
+    `certain` is the last acknowledged value, `possible` those of writes with unknown outcome.
+    """
+
+    name: str
+    certain: JsonValue = None
+    possible: set[JsonValue] = field(default_factory=set)
+
+    def allowed(self) -> set[JsonValue]:
+        """Return the values that a read may return."""
+        return {self.certain, *self.possible}
+
+
+class Session:
+    """One caller with one request at a time; each request goes to a node of its choice."""
+
+    def __init__(self, cluster: Cluster, name: str, service: Service, rng: random.Random) -> None:
+        self._cluster = cluster
+        self._name = name
+        self._service = service
+        self._rng = rng
+        self._database = rng.choice(service.databases).name
+        self._key = OwnKey(name=f"{name}-key")
+        self._counter = OwnKey(name=f"{name}-counter", certain=None)
+        self._token: str | None = None
+        self._count = 0
+        self._stopped = False
+
+    def start(self, think_ms: int) -> None:
+        """Send a request after a random pause, again and again."""
+        self._think_ms = think_ms
+        self._pause()
+
+    def stop(self) -> None:
+        """Send no further request."""
+        self._stopped = True
+
+    def _pause(self, *_: object) -> None:
+        delay_ms = max(1, round(self._rng.expovariate(1 / self._think_ms)))
+        self._cluster.loop.after(delay_ms, self._act)
+
+    def _act(self) -> None:
+        if self._stopped:
+            return
+        choice = self._rng.random()
+        if choice < 0.35:
+            self._write()
+        elif choice < 0.45:
+            self._add()
+        elif choice < 0.8:
+            self._read()
+        elif choice < 0.88:
+            self._read_stale()
+        else:
+            self._begin()
+
+    def _next_id(self) -> str:
+        self._count += 1
+        return f"{self._name}-{self._count}"
+
+    def _request(self, statement: str, access: Access, **fields: object) -> StatementRequest:
+        rank = self._rng.choice(self._service.ranks).name
+        request = StatementRequest(
+            request_id=self._next_id(),
+            account=self._service.account,
+            database=self._database,
+            statement=statement,
+            access=access,
+            rank=rank,
+            deadline_ms=self._rng.choice((300, 1_000, 3_000, 6_000)),
+            session=self._token,
+        )
+        for name, value in fields.items():
+            object.__setattr__(request, name, value)
+        return request
+
+    def _send(self, request: StatementRequest, done: Done) -> None:
+        host = self._choose_node()
+        if host is None:
+            done(None)
+            return
+
+        def answered(answer: StatementAnswer | None) -> None:
+            if answer is not None and answer.session is not None:
+                self._token = answer.session
+            done(answer)
+
+        self._cluster.send(host, request, answered)
+
+    def _choose_node(self) -> NodeHost | None:
+        nodes = [host for host in self._cluster.nodes if not host.drained]
+        return self._rng.choice(nodes) if nodes else None
+
+    def _write(self) -> None:
+        value = f"{self._key.name}={self._count}"
+        request = self._request(f"PUT {self._key.name} ?", Access.WRITE, parameters=(value,))
+        self._send_write(request, self._key, value, ((self._key.name, value),))
+
+    def _send_write(
+        self,
+        request: StatementRequest,
+        key: OwnKey,
+        value: JsonValue,
+        changes: Changes | None,
+        attempt: int = 0,
+    ) -> None:
+        if attempt == 0:
+            self._cluster.invariants.note_request(request, changes)
+
+        def done(answer: StatementAnswer | None) -> None:
+            if answer is None or answer.outcome is Outcome.UNKNOWN:
+                key.possible.add(value)
+                if attempt < 2 and self._rng.random() < 0.5:
+                    self._send_write(request, key, value, changes, attempt + 1)
+                    return
+            elif answer.outcome is Outcome.DONE:
+                self._cluster.invariants.note_result(
+                    f"{request.statement} of {request.request_id}", answer.result, value
+                )
+                key.certain = value
+                key.possible.discard(value)
+            self._pause()
+
+        self._send(request, done)
+
+    def _add(self) -> None:
+        request = self._request(f"ADD {self._counter.name} 1", Access.WRITE)
+        self._cluster.invariants.note_request(request, None)
+
+        def done(answer: StatementAnswer | None) -> None:
+            counter = self._counter
+            if answer is None or answer.outcome is Outcome.UNKNOWN:
+                counter.possible.add(request.request_id)
+            elif answer.outcome is Outcome.DONE:
+                before = int(counter.certain) if isinstance(counter.certain, int) else 0
+                reachable: set[JsonValue] = set(
+                    range(before + 1, before + 2 + len(counter.possible))
+                )
+                text = f"ADD of {request.request_id} after {before}"
+                self._cluster.invariants.note_read(text, answer.result, reachable)
+                counter.certain = answer.result
+            self._pause()
+
+        self._send(request, done)
+
+    def _read(self) -> None:
+        request = self._request(f"GET {self._key.name}", Access.READ)
+        if self._rng.random() < 0.1:
+            object.__setattr__(request, "session", None)
+        allowed = self._key.allowed()
+
+        def done(answer: StatementAnswer | None) -> None:
+            if answer is not None and answer.outcome is Outcome.DONE:
+                text = f"GET {self._key.name} as {request.request_id} from {answer.member}"
+                self._cluster.invariants.note_read(text, answer.result, allowed)
+            self._pause()
+
+        self._send(request, done)
+
+    def _read_stale(self) -> None:
+        key = self._key.name
+        request = self._request(f"GET {key}", Access.READ, accepted_staleness_ms=10_000)
+
+        def done(answer: StatementAnswer | None) -> None:
+            if answer is not None and answer.outcome is Outcome.DONE:
+                found = answer.result
+                own = found is None or str(found).startswith(f"{key}=")
+                self._cluster.invariants.note_result(f"GET {key}", own, True)
+            self._pause()
+
+        self._send(request, done)
+
+    def _begin(self) -> None:
+        request = self._request("BEGIN", Access.WRITE, step=TransactionStep.BEGIN)
+
+        def done(answer: StatementAnswer | None) -> None:
+            if answer is None or answer.outcome is not Outcome.DONE or not answer.transaction:
+                self._pause()
+                return
+            self._step(answer.transaction, self._rng.randint(1, 3), ())
+
+        self._send(request, done)
+
+    def _step(self, transaction: str, left: int, changes: Changes) -> None:
+        if left == 0:
+            self._end(transaction, changes)
+            return
+        key = f"{self._name}-tx{left}"
+        value = f"{transaction}/{left}"
+        request = self._request(
+            f"PUT {key} ?",
+            Access.WRITE,
+            parameters=(value,),
+            transaction=transaction,
+            step=TransactionStep.STATEMENT,
+        )
+
+        def done(answer: StatementAnswer | None) -> None:
+            if answer is None or answer.outcome is not Outcome.DONE:
+                self._pause()
+                return
+            text = f"{request.statement} in {transaction}"
+            self._cluster.invariants.note_result(text, answer.result, value)
+            self._step(transaction, left - 1, (*changes, (key, value)))
+
+        self._send(request, done)
+
+    def _end(self, transaction: str, changes: Changes) -> None:
+        choice = self._rng.random()
+        if choice < 0.1:
+            self._pause()
+            return
+        step = TransactionStep.ROLLBACK if choice < 0.25 else TransactionStep.COMMIT
+        request = self._request(step.upper(), Access.WRITE, transaction=transaction, step=step)
+        if step is TransactionStep.COMMIT:
+            self._cluster.invariants.note_request(request, changes)
+        self._send(request, self._pause)
+
+
+class Flood:
+    """Burst of reads and writes of one rank that do not wait for each other."""
+
+    def __init__(self, cluster: Cluster, service: Service, rng: random.Random) -> None:
+        self._cluster = cluster
+        self._service = service
+        self._rng = rng
+        self._count = 0
+
+    def start(self, rank: str, rate: float, duration_ms: int) -> None:
+        """Send requests of a rank at a rate per ms for a while."""
+        end_ms = self._cluster.loop.now_ms + duration_ms
+
+        def send() -> None:
+            if self._cluster.loop.now_ms >= end_ms or not self._cluster.nodes:
+                return
+            self._send_one(rank)
+            delay_ms = max(1, round(self._rng.expovariate(rate)))
+            self._cluster.loop.after(delay_ms, send)
+
+        send()
+
+    def _send_one(self, rank: str) -> None:
+        self._count += 1
+        is_read = self._rng.random() < 0.6
+        request = StatementRequest(
+            request_id=f"flood-{self._count}",
+            account=self._service.account,
+            database=self._rng.choice(self._service.databases).name,
+            statement="GET flood" if is_read else f"PUT flood {self._count}",
+            access=Access.READ if is_read else Access.WRITE,
+            rank=rank,
+            deadline_ms=1_000,
+        )
+        if not is_read:
+            self._cluster.invariants.note_request(request, (("flood", str(self._count)),))
+        host = self._rng.choice(self._cluster.nodes)
+        self._cluster.send(host, request, lambda answer: None)
--- /dev/null
+++ b/tests/bench/test_invariants.py
@@ -0,0 +1,122 @@
+"""Tests that each check notices a node that breaks its rule, and only then."""
+
+import pytest
+from burdockrun_bench import InvariantError, Invariants, VirtualLoop
+from burdockrun_fleet import Accepted
+from burdockrun_messages import Access, Outcome, StatementAnswer, StatementRequest
+
+from tests.bench.common import (
+    DATABASE,
+    OTHER,
+    PRIMARY,
+    REPLICA,
+    found,
+    make_chaos,
+    make_cluster,
+    promote,
+    run_sessions,
+)
+
+
+@pytest.mark.parametrize(
+    ("fault", "invariant"),
+    [
+        ("stale", "I1"),
+        ("mix", "I3"),
+        ("swap", "I4"),
+        ("early refusal", "I5"),
+        ("twice", "I6"),
+        ("revert", "I9"),
+        ("gap", "I10"),
+        ("connections", "I11"),
+    ],
+)
+def test_broken_node_is_noticed(fault: str, invariant: str) -> None:
+    """Guards against a check that never fails."""
+    cluster = make_cluster(fault)
+    cluster.members[REPLICA.name].member.lag_ms = 200
+    run_sessions(cluster, 6_000)
+    assert invariant in found(cluster)
+    assert cluster.invariants.violations[0].trace
+
+
+def test_correct_node_breaks_nothing() -> None:
+    """Guards against a check that blames allowed behaviour."""
+    cluster = make_cluster()
+    run_sessions(cluster, 10_000)
+    assert found(cluster) == set()
+    assert cluster.invariants.acknowledged_writes > 100
+
+
+@pytest.mark.parametrize(("fault", "expected"), [("", set()), ("unconfirmed", {"I2"})])
+def test_write_without_confirmation_is_lost_and_noticed(fault: str, expected: set[str]) -> None:
+    """Guards against acknowledged writes that a later term does not have."""
+    cluster = make_cluster(fault)
+    for member in (REPLICA, OTHER):
+        cluster.members[member.name].member.lag_ms = 60_000
+    run_sessions(cluster, 2_000)
+    promote(cluster, REPLICA, 2, (REPLICA, OTHER))
+    assert found(cluster) == expected
+    assert cluster.invariants.failovers == 1
+
+
+def test_superseded_primary_that_acknowledges_is_noticed() -> None:
+    """Guards against acknowledgements after a later term was confirmed."""
+    cluster = make_cluster("unconfirmed")
+    cluster.loop.run_until(cluster.loop.now_ms + 1_000)
+    promote(cluster, REPLICA, 2, (REPLICA, OTHER))
+    cluster.loop.run_until(cluster.loop.now_ms + 1_000)
+    run_sessions(cluster, 1_000)
+    assert "I2" in found(cluster)
+
+
+def test_two_primaries_of_one_term_are_noticed() -> None:
+    """Guards against promoters that both win."""
+    cluster = make_cluster()
+    promote(cluster, REPLICA, 2, (REPLICA,))
+    promote(cluster, OTHER, 2, (OTHER,))
+    assert found(cluster) == {"I10"}
+
+
+def test_work_for_a_leaving_member_is_noticed() -> None:
+    """Guards against an endpoint that still gets work after two seconds."""
+    cluster = make_cluster()
+    cluster.loop.run_until(cluster.loop.now_ms + 5_000)
+    cluster.leaving_since_ms[PRIMARY.name] = cluster.loop.now_ms
+    run_sessions(cluster, 1_900)
+    assert found(cluster) == set()
+    run_sessions(cluster, 1_000)
+    assert found(cluster) == {"I7"}
+
+
+def test_drain_that_cuts_requests_off_is_noticed() -> None:
+    """Guards against a shutdown with requests in flight."""
+    cluster = make_cluster()
+    chaos = make_chaos(cluster)
+    for member in DATABASE.members:
+        cluster.members[member.name].member.queue.stuck = True
+    run_sessions(cluster, 500)
+    chaos.drain(cluster.nodes[0])
+    assert found(cluster) == {"I8"}
+
+
+def test_ticket_that_does_not_arrive_is_noticed() -> None:
+    """Guards against a node that stays on an old ticket."""
+    cluster = make_cluster()
+    cluster.loop.run_until(cluster.loop.now_ms + 15_000)
+    chaos = make_chaos(cluster)
+    chaos.start()
+    chaos.note_ticket(Accepted(number=2), cluster.loop.now_ms)
+    cluster.loop.run_until(cluster.loop.now_ms + 6_000)
+    assert found(cluster) == {"I9"}
+
+
+def test_strict_checks_raise() -> None:
+    """Guards against tests that go on after a violation."""
+    invariants = Invariants(VirtualLoop(), lambda database: None, strict=True)
+    request = StatementRequest(
+        request_id="r", account="a", database="d", statement="GET k", access=Access.READ
+    )
+    answer = StatementAnswer(request_id="other", outcome=Outcome.DONE)
+    with pytest.raises(InvariantError, match="got the answer to other"):
+        invariants.note_answer(1, request, answer)
