Let candidates for coordinator queue up one a second

Cause: Beyond the tenth candidate all nodes of a domain tried at once when the platform was away, and the rank was computed at every tick. Change: The rank is not capped and is computed once a second.

--- a/libs/fleet/burdockrun_fleet/campaign.py
+++ b/libs/fleet/burdockrun_fleet/campaign.py
@@ -7,7 +7,6 @@
 from burdockrun_fleet.const import (
     ADOPT_AFTER_MS,
     ADOPT_NODES,
-    CAMPAIGN_MAX_RANK,
     CAMPAIGN_RANK_MS,
     CAMPAIGN_SILENCE_MS,
     INTRODUCE_BATCH,
@@ -43,6 +42,8 @@
         self._not_before_ms = 0
         self._next_poll_ms = 0
         self._next_look_ms = 0
+        self._next_rank_ms = 0
+        self._rank = 0
         self._next_introduction_ms = 0
         self._polled_number = -1
         self._poll_from_ms = 0
@@ -108,10 +109,11 @@
             return False
         if self._vacant_ms is None:
             self._vacant_ms = now_ms
-        names = [info.node for info in self._list_own()]
-        own_hash = hash_name(self._parts.node.node)
-        rank = min(sum(hash_name(name) < own_hash for name in names), CAMPAIGN_MAX_RANK)
-        return now_ms - self._vacant_ms >= rank * CAMPAIGN_RANK_MS
+        if now_ms >= self._next_rank_ms:
+            self._next_rank_ms = now_ms + LOOK_MS
+            own_hash = hash_name(self._parts.node.node)
+            self._rank = sum(hash_name(info.node) < own_hash for info in self._list_own())
+        return now_ms - self._vacant_ms >= self._rank * CAMPAIGN_RANK_MS
 
     def _list_own(self) -> tuple[NodeInfo, ...]:
         alive = [i for i in self._membership.list_alive() if i.domain == self._domain]
--- a/libs/fleet/burdockrun_fleet/const.py
+++ b/libs/fleet/burdockrun_fleet/const.py
@@ -46,8 +46,8 @@
 # Clock rates that differ by 1% are 60 ms apart in one TTL; a timer tick and a call add the rest.
 LEASE_MARGIN_MS: Final = 500
 CAMPAIGN_SILENCE_MS: Final = 6_500
+# One more candidate a second: in an outage of the platform the calls grow slowly.
 CAMPAIGN_RANK_MS: Final = 1_000
-CAMPAIGN_MAX_RANK: Final = 10
 START_SPREAD_MS: Final = 4_000
 CALL_TIMEOUT_MS: Final = 2_000
 WATCH_WAIT_MS: Final = 20_000
