--- a/libs/fleet/burdockrun_fleet/experiment.py
+++ b/libs/fleet/burdockrun_fleet/experiment.py
@@ -14,25 +14,18 @@
 from dataclasses import replace
 from functools import partial
 
-from burdockrun_messages import Configuration, Member, PutKey
+from burdockrun_messages import Configuration, Member
 from burdockrun_settings import configuration_from_json, configuration_to_json
 
 from burdockrun_fleet.experiment_client import measure_client
+from burdockrun_fleet.experiment_fleet import MeasuredFleet
 from burdockrun_fleet.experiment_load import (
     DOMAINS,
-    SharedFormat,
     make_database,
-    make_endpoint_vms,
-    make_records,
-    make_ticket,
 )
-from burdockrun_fleet.loader import ticket_key
-from burdockrun_fleet.meter import Meter, read_resident_bytes
+from burdockrun_fleet.meter import read_resident_bytes
 from burdockrun_fleet.models import SpreadOptions
-from burdockrun_fleet.simulation import SimNode, Simulation, place_nodes
 
-NODES_AT_MOST = 780
-DATABASES_AT_MOST = 910
 WARM_UP_MS = 60_000
 STEADY_MS = 20_000
 TICKETS_PER_CASE = 3
@@ -44,33 +37,9 @@
 Figures = dict[str, object]
 
 
-class Experiment:
+class Experiment(MeasuredFleet):
     """One fleet of a size, taken through all measurements."""
 
-    def __init__(self, size: int, seed: int) -> None:
-        self.size = size
-        self.databases = max(1, round(DATABASES_AT_MOST * size / NODES_AT_MOST))
-        self.format = SharedFormat()
-        gc.collect()
-        self._base_bytes = read_resident_bytes()
-        self.simulation = Simulation(seed, self.format.make())
-        self.meter = Meter(self.simulation)
-        self.number = 0
-        for first in range(0, self.databases, 10):
-            self.submit(range(first, min(first + 10, self.databases)))
-        for key, value in make_records(self.databases):
-            self.simulation.write(PutKey(key=key, value=value))
-        self.simulation.endpoint_vms = make_endpoint_vms(self.databases)
-        infos = place_nodes(size, DOMAINS)
-        for info in infos:
-            self.simulation.add(info, infos[:3])
-
-    def submit(self, databases: Sequence[int] = range(10)) -> None:
-        """Commit the next ticket."""
-        self.number += 1
-        text = make_ticket(self.number, databases)
-        self.simulation.write(PutKey(key=ticket_key(self.number), value=text, expected_revision=0))
-
     def measure(self, parts: Sequence[str]) -> Figures:
         """Run the chosen measurements in turn."""
         figures: Figures = {"nodes": self.size, "databases": self.databases}
@@ -96,20 +65,6 @@
             ),
         }
 
-    def run_and_find_peak(self, duration_ms: int) -> int:
-        """Run for a while and return the greatest number of platform calls in one second."""
-        self.simulation.calls_per_s.clear()
-        self.simulation.run(duration_ms)
-        return max(self.simulation.calls_per_s.values(), default=0)
-
-    def count_ready(self) -> int:
-        """Return how many nodes have the newest ticket and know all nodes."""
-        return sum(
-            node.agent.configuration.number == self.number
-            and len(node.agent.list_nodes()) == self.size
-            for node in self.simulation.nodes.values()
-        )
-
     def measure_steady(self) -> Figures:
         """Measure a quiet fleet."""
         before = {
@@ -149,7 +104,7 @@
     def measure_memory(self) -> Figures:
         """Measure memory per node; configurations are shared here and added apart."""
         gc.collect()
-        shared_out = (read_resident_bytes() - self._base_bytes) / self.size
+        shared_out = (read_resident_bytes() - self.base_bytes) / self.size
         text = configuration_to_json(self.nodes[0].agent.configuration)
         tracemalloc.start()
         kept = configuration_from_json(text).unwrap()
@@ -263,36 +218,6 @@
         peak = self.run_and_find_peak(30_000)
         return {"restart_peak_calls_per_s": peak, "ready_after_restart": self.count_ready()}
 
-    def wait_until(self, is_done: Callable[[], bool]) -> int:
-        """Run in steps of 50 ms, at most 30 s, and return the time taken."""
-        start_ms = self.simulation.now_ms
-        while not is_done() and self.simulation.now_ms < start_ms + 30_000:
-            self.simulation.run(50)
-        return self.simulation.now_ms - start_ms
-
-    def count_sent(self) -> tuple[int, int]:
-        """Return the messages and bytes sent so far."""
-        nodes = self.simulation.nodes.values()
-        return sum(n.sent_messages for n in nodes), sum(n.sent_bytes for n in nodes)
-
-    @property
-    def nodes(self) -> list[SimNode]:
-        """Return the running nodes."""
-        return list(self.simulation.nodes.values())
-
-    def is_coordinator(self, node: SimNode) -> bool:
-        """Return whether a node coordinates its domain."""
-        return node.agent.is_coordinator(node.info.domain, self.simulation.now_ms)
-
-    def count_current(self) -> int:
-        """Return how many nodes have the newest ticket."""
-        return sum(node.agent.configuration.number == self.number for node in self.nodes)
-
-    def all_current(self) -> bool:
-        """Return whether all nodes have the newest ticket."""
-        nodes = self.simulation.nodes.values()
-        return all(node.agent.configuration.number == self.number for node in nodes)
-
     def all_know_leaving(self, member: Member) -> bool:
         """Return whether all nodes know that a member is leaving."""
         return all(node.agent.is_leaving(member) for node in self.nodes)
--- /dev/null
+++ b/libs/fleet/burdockrun_fleet/experiment_fleet.py
@@ -0,0 +1,92 @@
+"""Fleet of a size for the measurements, with what they all need."""
+
+import gc
+from collections.abc import Callable, Sequence
+
+from burdockrun_messages import PutKey
+
+from burdockrun_fleet.experiment_load import (
+    DOMAINS,
+    SharedFormat,
+    make_endpoint_vms,
+    make_records,
+    make_ticket,
+)
+from burdockrun_fleet.loader import ticket_key
+from burdockrun_fleet.meter import Meter, read_resident_bytes
+from burdockrun_fleet.simulation import SimNode, Simulation, place_nodes
+
+NODES_AT_MOST = 780
+DATABASES_AT_MOST = 910
+
+
+class MeasuredFleet:
+    """Fleet with its share of 910 databases, started from a store without rosters."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.size = size
+        self.databases = max(1, round(DATABASES_AT_MOST * size / NODES_AT_MOST))
+        self.format = SharedFormat()
+        gc.collect()
+        self.base_bytes = read_resident_bytes()
+        self.simulation = Simulation(seed, self.format.make())
+        self.meter = Meter(self.simulation)
+        self.number = 0
+        for first in range(0, self.databases, 10):
+            self.submit(range(first, min(first + 10, self.databases)))
+        for key, value in make_records(self.databases):
+            self.simulation.write(PutKey(key=key, value=value))
+        self.simulation.endpoint_vms = make_endpoint_vms(self.databases)
+        infos = place_nodes(size, DOMAINS)
+        for info in infos:
+            self.simulation.add(info, infos[:3])
+
+    def submit(self, databases: Sequence[int] = range(10)) -> None:
+        """Commit the next ticket."""
+        self.number += 1
+        text = make_ticket(self.number, databases)
+        self.simulation.write(PutKey(key=ticket_key(self.number), value=text, expected_revision=0))
+
+    def run_and_find_peak(self, duration_ms: int) -> int:
+        """Run for a while and return the greatest number of platform calls in one second."""
+        self.simulation.calls_per_s.clear()
+        self.simulation.run(duration_ms)
+        return max(self.simulation.calls_per_s.values(), default=0)
+
+    def count_ready(self) -> int:
+        """Return how many nodes have the newest ticket and know all nodes."""
+        return sum(
+            node.agent.configuration.number == self.number
+            and len(node.agent.list_nodes()) == self.size
+            for node in self.simulation.nodes.values()
+        )
+
+    def wait_until(self, is_done: Callable[[], bool]) -> int:
+        """Run in steps of 50 ms, at most 30 s, and return the time taken."""
+        start_ms = self.simulation.now_ms
+        while not is_done() and self.simulation.now_ms < start_ms + 30_000:
+            self.simulation.run(50)
+        return self.simulation.now_ms - start_ms
+
+    def count_sent(self) -> tuple[int, int]:
+        """Return the messages and bytes sent so far."""
+        nodes = self.simulation.nodes.values()
+        return sum(n.sent_messages for n in nodes), sum(n.sent_bytes for n in nodes)
+
+    @property
+    def nodes(self) -> list[SimNode]:
+        """Return the running nodes."""
+        return list(self.simulation.nodes.values())
+
+    def is_coordinator(self, node: SimNode) -> bool:
+        """Return whether a node coordinates its domain."""
+        return node.agent.is_coordinator(node.info.domain, self.simulation.now_ms)
+
+    def count_current(self) -> int:
+        """Return how many nodes have the newest ticket."""
+        return sum(node.agent.configuration.number == self.number for node in self.nodes)
+
+    def all_current(self) -> bool:
+        """Return whether all nodes have the newest ticket."""
+        nodes = self.simulation.nodes.values()
+        return all(node.agent.configuration.number == self.number for node in nodes)
