--- a/libs/fleet/burdockrun_fleet/experiment.py
+++ b/libs/fleet/burdockrun_fleet/experiment.py
@@ -23,6 +23,7 @@
     DOMAINS,
     make_database,
 )
+from burdockrun_fleet.experiment_lookups import measure_lookups
 from burdockrun_fleet.meter import read_resident_bytes
 from burdockrun_fleet.models import SpreadOptions
 
@@ -32,7 +33,7 @@
 TICKET_LIMIT_MS = 8_000
 OUTAGE_MS = 60_000
 LEAVING_CASES = 8
-PARTS = ("steady", "leaving", "tickets", "failures", "client")
+PARTS = ("steady", "leaving", "tickets", "failures", "client", "lookups")
 
 Figures = dict[str, object]
 
@@ -63,6 +64,7 @@
             "client": lambda: measure_client(
                 self.simulation, self.nodes[0].agent.configuration, self.number + 1
             ),
+            "lookups": lambda: measure_lookups(self),
         }
 
     def measure_steady(self) -> Figures:
