--- a/libs/fleet/burdockrun_fleet/campaign.py
+++ b/libs/fleet/burdockrun_fleet/campaign.py
@@ -7,7 +7,6 @@
 from burdockrun_fleet.const import (
     ADOPT_AFTER_MS,
     ADOPT_NODES,
-    CAMPAIGN_MAX_RANK,
     CAMPAIGN_RANK_MS,
     CAMPAIGN_SILENCE_MS,
     INTRODUCE_BATCH,
@@ -38,11 +37,15 @@
         self._own.on_groups = self._pass_groups
         self._adopted: dict[str, Coordinator] = {}
         self._empty_since_ms: dict[str, int] = {}
+        self._own_nodes: tuple[NodeInfo, ...] = ()
+        self._own_of: tuple[Sequence[NodeInfo], tuple[int, bool]] = ((), (-1, False))
         self._heard_ms = 0
         self._vacant_ms: int | None = None
         self._not_before_ms = 0
         self._next_poll_ms = 0
         self._next_look_ms = 0
+        self._next_rank_ms = 0
+        self._rank = 0
         self._next_introduction_ms = 0
         self._polled_number = -1
         self._poll_from_ms = 0
@@ -108,17 +111,25 @@
             return False
         if self._vacant_ms is None:
             self._vacant_ms = now_ms
-        names = [info.node for info in self._list_own()]
-        own_hash = hash_name(self._parts.node.node)
-        rank = min(sum(hash_name(name) < own_hash for name in names), CAMPAIGN_MAX_RANK)
-        return now_ms - self._vacant_ms >= rank * CAMPAIGN_RANK_MS
+        if now_ms >= self._next_rank_ms:
+            self._next_rank_ms = now_ms + LOOK_MS
+            own_hash = hash_name(self._parts.node.node)
+            self._rank = sum(hash_name(info.node) < own_hash for info in self._list_own())
+        return now_ms - self._vacant_ms >= self._rank * CAMPAIGN_RANK_MS
 
     def _list_own(self) -> tuple[NodeInfo, ...]:
-        alive = [i for i in self._membership.list_alive() if i.domain == self._domain]
+        """Return the live nodes of the domain that stay, by name; kept until something changes."""
+        alive, vms = self._membership.list_alive(), self._parts.vms
+        state = (vms.version, self._membership.leaving)
+        if alive is self._own_of[0] and state == self._own_of[1]:
+            return self._own_nodes
+        nodes = [info for info in alive if info.domain == self._domain]
         if not self._membership.leaving:
-            alive.append(self._parts.node)
-        staying = (info for info in alive if not self._parts.vms.is_leaving(info.node))
-        return tuple(sorted(staying, key=lambda info: info.node))
+            nodes.append(self._parts.node)
+        staying = [info for info in nodes if not vms.is_leaving(info.node)]
+        self._own_of = (alive, state)
+        self._own_nodes = tuple(sorted(staying, key=lambda info: info.node))
+        return self._own_nodes
 
     def _list_substitutes(self, domain: str) -> tuple[NodeInfo, ...]:
         nodes = {info.node: info for info in self._membership.list_alive()}
