Introduce nodes of domains that nobody has seen yet

Change: it also pings VMs of domains of which no live node is known; a draining proxy stays until its roles are handed over; the status page shows rosters; a port in use ends with exit status 1.

--- a/libs/fleet/burdockrun_fleet/campaign.py
+++ b/libs/fleet/burdockrun_fleet/campaign.py
@@ -179,14 +179,15 @@
             self._membership.send_ping(info, now_ms)
 
     def _introduce(self, now_ms: int) -> None:
-        """Ping VMs of the domain that are not known yet, so that newcomers learn of the fleet."""
+        """Ping VMs that are not known yet: those of the domain, and a few of unseen domains."""
         if now_ms < self._next_introduction_ms:
             return
         self._next_introduction_ms = now_ms + POLL_MS
+        seen = {info.domain for info in self._membership.list_alive()} - {self._domain}
         unknown = [
             info
             for info in self._parts.vms.list_nodes()
-            if info.domain == self._domain and self._membership.is_unknown(info.node)
+            if info.domain not in seen and self._membership.is_unknown(info.node)
         ]
         for info in self._parts.rng.sample(unknown, min(INTRODUCE_BATCH, len(unknown))):
             self._membership.send_ping(info, now_ms)
--- a/libs/proxy/burdockrun_proxy/const.py
+++ b/libs/proxy/burdockrun_proxy/const.py
@@ -19,7 +19,7 @@
 HELD_RECHECK_MS: Final = 100
 MAX_ACCOUNT_IN_FLIGHT: Final = 4_000
 MAX_ATTEMPTS: Final = 1_000
-DRAIN_TIMEOUT_MS: Final = 30_000
+HAND_OVER_LIMIT_MS: Final = 5_000
 MAX_REPLICA_WAIT_MS: Final = 10
 
 PROXY_STARTED = define_event(901, "proxy_started", Level.INFO, "The proxy accepts connections.")
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -45,6 +45,7 @@
 
 from burdockrun_proxy.const import (
     CONFIGURATION_IN_FORCE,
+    HAND_OVER_LIMIT_MS,
     MAX_ACCOUNT_IN_FLIGHT,
     PROCESS_PAUSED,
     PROXY_DRAINING,
@@ -98,6 +99,7 @@
         self._forwarded = 0
         self._draining = False
         self._drain_reported = False
+        self._hand_over_until_ms = 0
         self._configuration = Configuration()
         self._members: dict[str, tuple[Service, Database, Member]] = {}
         self.fleet = FleetAgent(
@@ -145,6 +147,7 @@
             homes=self._homes,
             positions=self._positions,
             nodes=self.fleet.list_nodes(),
+            rosters=self.fleet.rosters,
             draining=self._draining,
             in_flight=self._entry.in_flight,
         )
@@ -219,7 +222,7 @@
         self._acknowledger.tick(now_ms)
         self._entry.tick(now_ms)
         self._replace_leaving_primaries(now_ms)
-        self._report_drained()
+        self._report_drained(now_ms)
 
     @_handlers.register("ProcessPaused")
     def _process_paused(self, event: ProcessPaused, now_ms: int) -> None:
@@ -233,6 +236,7 @@
         if self._draining:
             return
         self._draining = True
+        self._hand_over_until_ms = now_ms + HAND_OVER_LIMIT_MS
         self._entry.draining = True
         self._outbox.log(PROXY_DRAINING, in_flight=self._entry.in_flight)
         self.fleet.drain(now_ms)
@@ -434,9 +438,12 @@
             if found is not None and self.fleet.is_leaving(found[1]):
                 supervisor.request_change("primary is leaving", now_ms)
 
-    def _report_drained(self) -> None:
+    def _report_drained(self, now_ms: int) -> None:
+        """Say that the process may exit once others serve its members and nothing is in flight."""
         if not self._draining or self._drain_reported:
             return
+        if self._placement.list_role_members() and now_ms < self._hand_over_until_ms:
+            return
         busy = self._entry.in_flight or self._forwarded
         if busy or any(home.in_flight for home in self._homes.values()):
             return
--- a/libs/proxy/burdockrun_proxy/program.py
+++ b/libs/proxy/burdockrun_proxy/program.py
@@ -30,7 +30,8 @@
 from burdockrun_proxy.node import ProxyNode
 from burdockrun_proxy.server import ProxyServer
 
-EXIT_STATUSES = "exit status: 0 stopped after a drain, 1 internal error, 2 bad settings"
+EXIT_STATUSES = "exit status: 0 stopped after a drain, 1 cannot listen on its address, 2 bad settings"
+EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 
 
@@ -44,7 +45,11 @@
     logging.set_verbosity(logging.INFO)
     logging.use_absl_handler()
     settings = loaded.ok_value
-    return asyncio.run(async_serve(settings, arguments.log_format or settings.log_format))
+    try:
+        return asyncio.run(async_serve(settings, arguments.log_format or settings.log_format))
+    except OSError as error:
+        print(f"cannot listen on {settings.host}:{settings.port}: {error}", file=sys.stderr)
+        return EXIT_FAILED
 
 
 def parse_arguments(argv: Sequence[str] | None) -> argparse.Namespace:
--- a/libs/proxy/burdockrun_proxy/status.py
+++ b/libs/proxy/burdockrun_proxy/status.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from burdockrun_messages import Configuration, GroupRecord, LogPosition, NodeInfo
+from burdockrun_messages import Configuration, GroupRecord, LogPosition, NodeInfo, Roster
 from burdockrun_routing import PositionTable
 
 from burdockrun_proxy.home import MemberHome
@@ -28,6 +28,14 @@
     primary: str | None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RosterView:
+    """Roster of a failure domain as this node knows it."""
+
+    epoch: int
+    nodes: tuple[str, ...]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NodeStatus:
     """Status of one proxy node; `reasons` says why it is not ready."""
@@ -41,6 +49,7 @@
     groups: dict[str, GroupView]
     homes: tuple[MemberState, ...]
     nodes: tuple[str, ...]
+    rosters: dict[str, RosterView]
 
 
 def build_status(
@@ -51,6 +60,7 @@
     homes: Mapping[str, MemberHome],
     positions: PositionTable,
     nodes: Sequence[NodeInfo],
+    rosters: Mapping[str, Roster],
     draining: bool,
     in_flight: int,
 ) -> NodeStatus:
@@ -74,6 +84,12 @@
         },
         homes=tuple(_build_member_state(home, positions) for home in homes.values()),
         nodes=tuple(sorted(node.node for node in nodes)),
+        rosters={
+            domain: RosterView(
+                epoch=roster.epoch, nodes=tuple(node.node for node in roster.nodes)
+            )
+            for domain, roster in sorted(rosters.items())
+        },
     )
 
 
--- a/script/processes.py
+++ b/script/processes.py
@@ -18,6 +18,8 @@
 SESSION_KEY = "demo-key-not-for-production"
 READY_TIMEOUT_S = 20.0
 
+_given_ports: set[int] = set()
+
 
 def find_free_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago.
@@ -27,12 +29,15 @@
     """
     ports: list[int] = []
     for port in SystemRandom().sample(LISTEN_PORTS, len(LISTEN_PORTS)):
+        if port in _given_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
         ports.append(port)
+        _given_ports.add(port)
         if len(ports) == count:
             return ports
     raise OSError(f"fewer than {count} free ports")
