Detect a stuck primary sooner and count only groups that are still observed

Cause: a stuck primary was replaced after about 3 s, of which a second went into slow probes; a group that a node no longer supervises kept its part of the probe budget. Change: the home probes an idle primary with waiting work every 100 ms, other homes confirm in 300 ms; `ProbeBudget` leaves out groups that do not report for 2 s; `measure` knows stuck and double failures. `script/test tests/failover libs/failover` passes, 37 tests.

--- a/libs/failover/burdockrun_failover/const.py
+++ b/libs/failover/burdockrun_failover/const.py
@@ -10,6 +10,7 @@
 PROBES_PER_SECOND: Final = 8
 PROBE_MIN_MS: Final = 200
 PROBE_MAX_MS: Final = 1_000
+UNOBSERVED_AFTER_MS: Final = 2_000
 PROBE_SILENT_MS: Final = 100
 # A doubted primary is probed at this interval for some hundred ms, so that lost messages alone do
 # not look like a failure: with 30% loss on both ways, 12 probes all fail with p = 3e-4.
@@ -35,7 +36,7 @@
 STATUS_FRESH_MS: Final = 400
 STUCK_AFTER_MS: Final = 2_000
 # Other homes confirm a stuck primary by their own probes; the 2 s have already passed at its home.
-STUCK_CONFIRM_MS: Final = 500
+STUCK_CONFIRM_MS: Final = 300
 STUCK_MIN_ANSWERS: Final = 3
 VERDICT_REPEAT_MS: Final = 100
 VERDICT_FRESH_MS: Final = 500
--- a/libs/failover/burdockrun_failover/detector.py
+++ b/libs/failover/burdockrun_failover/detector.py
@@ -7,6 +7,7 @@
 from burdockrun_failover.const import (
     CLEAN_PATH_PROBES,
     DOUBT_AFTER_MS,
+    PROBE_MAX_MS,
     STATUS_FRESH_MS,
     STUCK_AFTER_MS,
     STUCK_CONFIRM_MS,
@@ -91,7 +92,8 @@
         """Note the status of a member."""
         self.note_life(member)
         evidence = self._find(member)
-        previous, evidence.status, evidence.status_at_ms = evidence.status, status, now_ms
+        previous, previous_at_ms = evidence.status, evidence.status_at_ms
+        evidence.status, evidence.status_at_ms = status, now_ms
         evidence.answered_in_row += 1
         deposed = status.role is not MemberRole.PRIMARY
         evidence.deposed_answers = evidence.deposed_answers + 1 if deposed else 0
@@ -108,7 +110,13 @@
             return
         evidence.idle_answers += 1
         if evidence.idle_since_ms is None:
-            evidence.idle_since_ms = now_ms
+            recent = now_ms - previous_at_ms <= PROBE_MAX_MS
+            evidence.idle_since_ms = previous_at_ms if recent else now_ms
+
+    def is_idle(self, member: str) -> bool:
+        """Return whether a member with work waiting finished nothing between two statuses."""
+        evidence = self._members.get(member)
+        return evidence is not None and evidence.idle_answers > 0
 
     def is_unsure(self, member: str, active: ActiveTerm | None, now_ms: int) -> bool:
         """Return whether a member should be probed at the faster rate."""
@@ -119,6 +127,8 @@
         if silent_since_ms is not None and now_ms - silent_since_ms >= DOUBT_AFTER_MS:
             return True
         status = evidence.status
+        if evidence.idle_answers > 1:
+            return True
         if status is None or active is None:
             return False
         silent_ms = status.upstream_silent_ms or 0
--- a/libs/failover/burdockrun_failover/observer.py
+++ b/libs/failover/burdockrun_failover/observer.py
@@ -20,6 +20,7 @@
     PRIMARY_SUSPECTED,
     PROBE_DOUBT_MS,
     PROBE_MAX_MS,
+    PROBE_MIN_MS,
     PROBE_SILENT_MS,
     PROBE_TIMEOUT_MS,
     SUSPECT_AFTER_MS,
@@ -95,7 +96,7 @@
         """Send the probes and verdicts that are due."""
         observed = self._group.observed
         self._forget_others(observed)
-        self._budget.set_observed(self._group.database.name, len(observed))
+        self._budget.note_observed(self._group.database.name, len(observed), now_ms)
         for member in observed:
             self._probe_if_due(member, now_ms)
         active = self._group.active
@@ -134,9 +135,10 @@
             self.detector.note_life(primary.name)
 
     def _probe_if_due(self, member: Member, now_ms: int, *, doubted: bool = False) -> None:
-        due_ms = self._probe_at_ms.setdefault(
-            member.name, now_ms + self._rng.randint(0, self._budget.interval_ms // 2)
-        )
+        due_ms = self._probe_at_ms.get(member.name)
+        if due_ms is None:
+            due_ms = now_ms + self._rng.randint(0, self._budget.find_interval_ms(now_ms) // 2)
+            self._probe_at_ms[member.name] = due_ms
         if doubted or self.detector.is_unsure(member.name, self._group.active, now_ms):
             doubted = True
             probed_at_ms = self._probed_at_ms.get(member.name, 0)
@@ -146,7 +148,7 @@
         if now_ms < due_ms:
             return
         self._probed_at_ms[member.name] = now_ms
-        self._probe_at_ms[member.name] = now_ms + self._budget.interval_ms
+        self._probe_at_ms[member.name] = now_ms + self._budget.find_interval_ms(now_ms)
         if doubted:
             self._outbox.wake_at(now_ms + self._find_doubt_interval_ms(member.name))
         self.detector.note_probe(member.name, now_ms)
@@ -165,8 +167,9 @@
 
     def _find_doubt_interval_ms(self, member: str) -> int:
         active = self._group.active
-        is_primary = active is not None and member == active.primary
-        return PROBE_DOUBT_MS if is_primary else PROBE_SILENT_MS
+        if active is None or member != active.primary or self.detector.is_idle(member):
+            return PROBE_SILENT_MS
+        return PROBE_DOUBT_MS
 
     def _is_busy_primary(self, member: str, now_ms: int) -> bool:
         """Return whether answers to statements already show that the primary lives."""
@@ -174,7 +177,7 @@
         if active is None or member != active.primary:
             return False
         life_at_ms = self._life_at_ms.get(member)
-        return life_at_ms is not None and now_ms - life_at_ms < self._budget.interval_ms
+        return life_at_ms is not None and now_ms - life_at_ms < PROBE_MIN_MS
 
     def _judge(self, member: str, active: ActiveTerm, *, accused: bool, now_ms: int) -> None:
         failed = self._holds_failed(member, active, accused=accused, now_ms=now_ms)
--- a/tests/failover/measure.py
+++ b/tests/failover/measure.py
@@ -51,6 +51,27 @@
     return world.find_gap_ms(started_ms)
 
 
+def measure_stuck(seed: int, domains: tuple[str, ...]) -> int:
+    """Return the write gap in ms after the primary has stopped finishing statements."""
+    world = start_world(seed, domains)
+    started_ms = world.now_ms
+    world.members[world.active.primary].stuck = True
+    world.run_for(6_000)
+    check(world, 2)
+    return world.find_gap_ms(started_ms)
+
+
+def measure_double(seed: int, domains: tuple[str, ...]) -> int:
+    """Return the write gap in ms after the primary and the home of a replica have died."""
+    world = start_world(seed, domains)
+    started_ms = world.now_ms
+    world.members[world.active.primary].alive = False
+    world.homes["m1"].alive = False
+    world.run_for(6_000)
+    check(world, 2)
+    return world.find_gap_ms(started_ms)
+
+
 def measure_planned(seed: int, domains: tuple[str, ...]) -> int:
     """Return the write gap in ms of a planned change of the primary."""
     world = start_world(seed, domains)
@@ -74,6 +95,8 @@
 KINDS: dict[str, Callable[[int, tuple[str, ...]], int]] = {
     "crash": measure_crash,
     "cut": measure_cut,
+    "stuck": measure_stuck,
+    "double": measure_double,
     "planned": measure_planned,
     "loss": measure_loss,
 }
