--- a/libs/routing/burdockrun_routing/positions.py
+++ b/libs/routing/burdockrun_routing/positions.py
@@ -46,6 +46,12 @@
         if elapsed_ms >= MIN_RATE_WINDOW_MS or position.term != base.position.term:
             self._bases[key] = view
 
+    def note_failure(self, database: str, member: str, now_ms: int) -> None:
+        """Record that a member could not serve, so that it is avoided until it is tried again."""
+        key = (database, member)
+        view = MemberView(position=LogPosition(term=0, index=0), lag_ms=None, observed_ms=now_ms)
+        self._views[key] = self._bases[key] = view
+
     def view(self, database: str, member: str) -> MemberView | None:
         """Return what is known about a member, or None."""
         return self._views.get((database, member))
--- a/tests/routing/test_reads.py
+++ b/tests/routing/test_reads.py
@@ -118,3 +118,13 @@
     """Guards against refused reads during a failover that a replica could serve."""
     assert choose(make_query(required=at(10), primary=None), make_table()) == "b"
     assert choose(make_query(primary=None), make_table()) is None
+
+
+def test_replica_that_failed_is_avoided_for_a_while() -> None:
+    """Guards against reads that all run into the same dead replica."""
+    table = make_table()
+    table.note_failure("turns", "b", 1_000)
+    assert choose(make_query(required=at(10)), table, 1_100) == "c"
+    assert choose(make_query(required=at(10), unavailable=frozenset("c")), table, 1_300) == "b"
+    table.observe("turns", "b", at(10), 5, 1_310)
+    assert choose(make_query(required=at(10)), table, 1_320) == "b"
