--- a/libs/routing/burdockrun_routing/const.py
+++ b/libs/routing/burdockrun_routing/const.py
@@ -9,7 +9,7 @@
 # A replica with at most this lag keeps up with its primary; one with more may have stopped.
 HEALTHY_LAG_MS: Final = 250
 # A replica that was behind, or whose lag was unknown, is tried again after this time.
-RETRY_BEHIND_MS: Final = 250
+RETRY_BEHIND_MS: Final = 100
 # Rates are measured over at least the first and at most the second of these times.
 MIN_RATE_WINDOW_MS: Final = 50
 MAX_RATE_WINDOW_MS: Final = 2_000
