Count the checks of a soak run and let endpoints leave by the platform's list

Cause: a run did not show whether each invariant had been checked. Change: counts of checks and codes on standard error; leaving by the platform's list in calm phases.

--- a/libs/bench/burdockrun_bench/chaos.py
+++ b/libs/bench/burdockrun_bench/chaos.py
@@ -96,6 +96,7 @@
     def _check_in_force(self, watch: TicketWatch) -> None:
         for host in self._cluster.nodes:
             number = self._cluster.read_ticket(host)
+            self._cluster.invariants.checked["I9 in time"] += 1
             if host.started_ms < watch.committed_ms - RECOVERY_MS and number < watch.number:
                 late_ms = self._loop.now_ms - watch.committed_ms
                 self._cluster.invariants.note_late_ticket(host.info.node, watch.number, late_ms)
@@ -125,7 +126,14 @@
             self._loop.after(RECOVERY_MS, self._begin_calm)
             return
         self._loop.note("calm")
-        self._rng.choice((self._change_ticket, self._leave_by_ticket, self._drain, self._compete))()
+        operations = (
+            self._change_ticket,
+            self._compete,
+            self._drain,
+            self._leave_by_ticket,
+            self._leave_by_list,
+        )
+        self._rng.choice(operations)()
         self._loop.after(CALM_MS, self._begin_storm)
 
     def _last(self, least_ms: int, most_ms: int, heal: Callable[[], None]) -> None:
@@ -298,6 +306,20 @@
 
         self._submitter.submit({leaving.name: leaving}, accepted)
 
+    def _leave_by_list(self) -> None:
+        cluster = self._cluster
+        member = self._rng.choice(list(cluster.members))
+        visible_ms = self._loop.now_ms + cluster.store.store.vm_list_lag_ms
+        cluster.leaving_since_ms[member] = visible_ms
+        cluster.publish_vms()
+        self._loop.note("leaving by the platform's list", member)
+
+        def back() -> None:
+            cluster.leaving_since_ms.pop(member, None)
+            cluster.publish_vms()
+
+        self._loop.after(CALM_MS - LEAVING_LIMIT_MS, back)
+
     def _drain(self) -> None:
         self.drain(self._rng.choice(self._cluster.nodes))
 
@@ -316,6 +338,7 @@
                 return
             if not host.drained:
                 cluster.invariants.report("I8", f"{host.info.node} did not end its drain")
+            cluster.invariants.checked["I8"] += 1
             waiting = cluster.count_waiting(host)
             if waiting:
                 text = f"{host.info.node} ended its drain with {waiting} requests in flight"
--- a/libs/bench/burdockrun_bench/cluster.py
+++ b/libs/bench/burdockrun_bench/cluster.py
@@ -232,6 +232,7 @@
             return
         if action.message.step not in (None, TransactionStep.BEGIN):
             return
+        self.invariants.checked["I7"] += 1
         late_ms = self.loop.now_ms - since_ms
         if late_ms > LEAVING_LIMIT_MS:
             self.invariants.note_late_work(member, late_ms, action.message.statement)
--- a/libs/bench/burdockrun_bench/invariants.py
+++ b/libs/bench/burdockrun_bench/invariants.py
@@ -52,6 +52,8 @@
 class Invariants:
     """Counts violations; `strict` raises at the first one.
 
+    `checked` counts how often each invariant was checked, so that a run shows what it covers.
+
     `find_log` returns the log of the primary with the greatest confirmed term of a database.
     """
 
@@ -65,6 +67,7 @@
         self.violations: list[Violation] = []
         self.outcomes: Counter[Outcome] = Counter()
         self.codes: Counter[str] = Counter()
+        self.checked: Counter[str] = Counter()
         self.acknowledged_writes = 0
         self.failovers = 0
         self._loop = loop
@@ -118,11 +121,13 @@
 
     def note_read(self, text: str, result: JsonValue, allowed: set[JsonValue]) -> None:
         """Check that a session reads its own writes (I1)."""
+        self.checked["I1"] += 1
         if result not in allowed:
             self.report("I1", f"{text} returned {result!r}, allowed {sorted(map(str, allowed))}")
 
     def note_result(self, text: str, result: JsonValue, expected: JsonValue) -> None:
         """Check that an answer holds the result of its own request (I4)."""
+        self.checked["I4"] += 1
         if result != expected:
             self.report("I4", f"{text} returned {result!r}, expected {expected!r}")
 
@@ -137,6 +142,7 @@
 
     def note_ticket(self, number: int, text: str) -> None:
         """Check a committed ticket: no gap and only one for each number (I10)."""
+        self.checked["I10"] += 1
         if number in self._tickets:
             self.report("I10", f"ticket {number} was committed twice")
         if self._tickets and number != max(self._tickets) + 1:
@@ -145,6 +151,7 @@
 
     def note_in_force(self, process: int, node: str, number: int) -> None:
         """Check that the ticket in force at a process never reverts (I9)."""
+        self.checked["I9"] += 1
         if number < self._seen_tickets.get(process, 0):
             self.report("I9", f"{node} went from {self._seen_tickets[process]} to {number}")
         self._seen_tickets[process] = number
@@ -155,6 +162,7 @@
 
     def note_connections(self, database: str, count: int, limit: int) -> None:
         """Check the number of connections open to a database (I11)."""
+        self.checked["I11"] += 1
         if count > limit:
             self.report("I11", f"{database} has {count} connections, limit {limit}")
 
@@ -167,6 +175,7 @@
         self._check_log(database, "last primary", log)
         ledger = self._ledger(database)
         for identifier in sorted(ledger.not_run):
+            self.checked["I5"] += 1
             index = log.find_request(identifier)
             if index is not None and not log.entry(index).tombstone:
                 self.report("I5", f"{identifier} was answered not_run and is entry {index}")
@@ -182,6 +191,7 @@
         log = self._find_log(request.database)
         if log is None:
             return
+        self.checked["I2"] += 1
         index = log.find_request(identifier)
         if index is None:
             self.report("I2", f"{identifier} acknowledged by a superseded primary at {position}")
@@ -207,6 +217,7 @@
                 self.report("I6", f"{identifier} was never requested, {owner}")
                 continue
             expected = ledger.expected[identifier]
+            self.checked["I3" if len(expected or ()) > 1 else "I6"] += 1
             found = tuple((change.key, change.value) for change in entry.changes)
             if expected is not None and found != expected:
                 self.report("I3", f"{identifier} changed {found}, expected {expected}")
--- a/libs/bench/burdockrun_bench/soak.py
+++ b/libs/bench/burdockrun_bench/soak.py
@@ -47,6 +47,7 @@
     unknown: int
     events: int
     codes: dict[str, int]
+    checked: dict[str, int]
 
     def __str__(self) -> str:
         """Return the last line of the program."""
@@ -120,6 +121,7 @@
         unknown=invariants.outcomes[Outcome.UNKNOWN],
         events=cluster.loop.events,
         codes=dict(sorted(invariants.codes.items())),
+        checked=dict(sorted(invariants.checked.items())),
     )
 
 
--- a/libs/bench/burdockrun_bench/soak_program.py
+++ b/libs/bench/burdockrun_bench/soak_program.py
@@ -69,6 +69,8 @@
             )
         if arguments.trace:
             print("\n".join(violation.trace), file=sys.stderr)
+    details = {"events": result.events, "codes": result.codes, "checked": result.checked}
+    print(json.dumps(details), file=sys.stderr)
     print(result, flush=True)
 
 
