Hold work for a member that stopped answering instead of refusing it

Cause: while a primary had failed but was not yet replaced, its home refused urgent work as overloaded, and a read went to the home of a dead replica and waited there until its deadline (seen in script/demo). Change: a home whose connections are all down says so at once, and work for a member that has answered nothing for 100 ms is held within its deadline.

--- a/libs/messages/burdockrun_messages/peers.py
+++ b/libs/messages/burdockrun_messages/peers.py
@@ -17,6 +17,7 @@
     BEHIND = "behind"
     NOT_HOME = "not_home"
     NOT_PRIMARY = "not_primary"
+    UNREACHABLE = "unreachable"
 
 
 class NodeState(StrEnum):
--- a/libs/proxy/burdockrun_proxy/entry.py
+++ b/libs/proxy/burdockrun_proxy/entry.py
@@ -275,7 +275,6 @@
             return
         node = self._choose_node(pending, member)
         if node is None:
-            pending.avoid.clear()
             self._hold(pending, HELD_RECHECK_MS, now_ms)
             return
         self._forward(pending, Route(member=member, node=node), now_ms)
@@ -364,10 +363,16 @@
         if reply.status is ForwardStatus.ANSWERED and reply.answer is not None:
             self._finish(pending, reply.answer, now_ms)
             return
-        if reply.status is ForwardStatus.BEHIND:
+        if reply.status is ForwardStatus.BEHIND and member not in pending.avoid:
             pending.avoid.add(member)
             self._route(pending, now_ms)
             return
+        if reply.status is ForwardStatus.UNREACHABLE:
+            self._positions.note_failure(pending.request.database, member, now_ms)
+            if not is_write(pending.request) and member not in pending.avoid:
+                pending.avoid.add(member)
+                self._route(pending, now_ms)
+                return
         delay_ms = REROUTE_DELAY_MS if attempt < 5 else HELD_RECHECK_MS
         self._hold(pending, delay_ms, now_ms)
 
@@ -382,6 +387,7 @@
     def _hold(self, pending: Pending, delay_ms: int, now_ms: int) -> None:
         pending.held = True
         pending.waited_out_gap = True
+        pending.avoid.clear()
         pending.node = None
         heapq.heappush(self._reroutes, (now_ms + delay_ms, pending.pending_id))
         self._outbox.wake_at(now_ms + delay_ms)
--- a/libs/proxy/burdockrun_proxy/home.py
+++ b/libs/proxy/burdockrun_proxy/home.py
@@ -28,7 +28,7 @@
 from burdockrun_routing import PositionTable, estimate_catch_up_ms
 from result import Err
 
-from burdockrun_proxy.const import CONNECTION_FAILED
+from burdockrun_proxy.const import CONNECTION_FAILED, STALL_MS
 from burdockrun_proxy.freshness import FreshnessCheck
 from burdockrun_proxy.models import (
     Connection,
@@ -85,6 +85,7 @@
         self._scheduler = scheduler
         self._on_life = on_life
         self._budget = 0
+        self._answered_ms = 0
         self._waiting: dict[int, HomeRequest] = {}
         self._parked: list[tuple[int, HomeRequest]] = []
         self.pool = ConnectionPool(member, outbox, ids)
@@ -119,6 +120,9 @@
         if is_write(request.request) and not self._serves_writes():
             self._reply_not_primary(request, now_ms)
             return
+        if self.pool.is_down and request.request.transaction is None:
+            self._reply(request, HomeReply(status=ForwardStatus.UNREACHABLE), now_ms)
+            return
         if request.request.transaction is not None:
             self._accept_in_transaction(request, now_ms)
             return
@@ -156,6 +160,8 @@
         self.transactions.connection_lost(connection)
         if connection.execution is not None:
             self._execution_lost(connection.execution, now_ms)
+        if self.pool.is_down:
+            self._return_waiting(ForwardStatus.UNREACHABLE, now_ms)
         self.pump(now_ms)
 
     def execute_answered(self, connection_id: int, answer: ExecuteAnswer, now_ms: int) -> None:
@@ -167,6 +173,7 @@
         if execution is None or execution.message.execution_id != answer.execution_id:
             self._close_mismatched(connection, now_ms)
             return
+        self._answered_ms = now_ms
         self._on_life(self.member.name, now_ms)
         self._positions.observe(
             self.database.name, self.member.name, answer.position, answer.lag_ms, now_ms
@@ -201,10 +208,13 @@
 
     def stop_roles(self, now_ms: int) -> None:
         """Send queued requests back because another node takes over."""
+        self._return_waiting(ForwardStatus.NOT_HOME, now_ms)
+
+    def _return_waiting(self, status: ForwardStatus, now_ms: int) -> None:
         for work_id in tuple(self._waiting):
             request = self._waiting.pop(work_id)
             self._scheduler.cancel(work_id)
-            self._reply(request, HomeReply(status=ForwardStatus.NOT_HOME), now_ms)
+            self._reply(request, HomeReply(status=status), now_ms)
 
     def _serves_writes(self) -> bool:
         record = self.record
@@ -235,12 +245,23 @@
             arrived_ms=now_ms,
             deadline_ms=request.deadline_ms,
         )
-        offered = self._scheduler.offer(work, now_ms, hold=request.waited_out_gap)
+        hold = request.waited_out_gap or self._is_stalled(now_ms)
+        offered = self._scheduler.offer(work, now_ms, hold=hold)
         if isinstance(offered, Err):
             self._reply_refused(request, offered.err_value, now_ms)
             return
         self._waiting[work.work_id] = request
 
+    def _is_stalled(self, now_ms: int) -> bool:
+        """Return whether the member has statements but has answered none for a while.
+
+        It may have failed; work then waits for its replacement within its deadline.
+        """
+        return now_ms - self._answered_ms >= STALL_MS and self._is_busy()
+
+    def _is_busy(self) -> bool:
+        return any(connection.execution is not None for connection in self.pool)
+
     def _wait_for_position(self, request: HomeRequest, now_ms: int) -> bool:
         view = self._positions.view(self.database.name, self.member.name)
         if request.required is None or view is None or is_write(request.request):
@@ -299,6 +320,8 @@
         in_scheduler: bool,
     ) -> None:
         assert connection.execution is None, "a connection with an answer outstanding was reused"
+        if not self._is_busy():
+            self._answered_ms = now_ms
         message = self._build_execute(request.request, request.required)
         connection.execution = Execution(
             work_id=work_id,
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -370,12 +370,7 @@
             found = self._configuration.find_database(name)
             if found is None:
                 continue
-            supervisor = GroupSupervisor(found[1], self.info, self.fleet, self._outbox, self._rng)
-            supervisor.on_record = self._publish_record
-            self._supervisors[name] = supervisor
-            record = self._records.get(name)
-            if record is not None:
-                supervisor.learn_record(record, 0)
+            self._supervisors[name] = self._build_supervisor(found[1], now_ms)
         for name in self._supervisors.keys() - wanted:
             del self._supervisors[name]
 
@@ -438,11 +433,18 @@
             if found is not None and self.fleet.is_leaving(found[1]):
                 supervisor.request_change("primary is leaving", now_ms)
 
+    def _can_hand_over(self) -> bool:
+        """Return whether this node has roles that another live node of its domain can take."""
+        others = (node for node in self.fleet.list_nodes() if node.node != self.info.node)
+        return bool(self._placement.list_role_members()) and any(
+            node.domain == self.info.domain for node in others
+        )
+
     def _report_drained(self, now_ms: int) -> None:
         """Say that the process may exit once others serve its members and nothing is in flight."""
         if not self._draining or self._drain_reported:
             return
-        if self._placement.list_role_members() and now_ms < self._hand_over_until_ms:
+        if self._can_hand_over() and now_ms < self._hand_over_until_ms:
             return
         busy = self._entry.in_flight or self._forwarded
         if busy or any(home.in_flight for home in self._homes.values()):
--- a/libs/proxy/burdockrun_proxy/pool.py
+++ b/libs/proxy/burdockrun_proxy/pool.py
@@ -31,6 +31,13 @@
         """Return a connection of this pool, or None."""
         return self._connections.get(connection_id)
 
+    @property
+    def is_down(self) -> bool:
+        """Return whether attempts fail and no connection is open."""
+        return self._failures > 0 and all(
+            connection.state is ConnectionState.OPENING for connection in self
+        )
+
     def has_idle(self) -> bool:
         """Return whether a connection is free."""
         return bool(self._idle)
--- a/libs/proxy/burdockrun_proxy/program.py
+++ b/libs/proxy/burdockrun_proxy/program.py
@@ -30,7 +30,9 @@
 from burdockrun_proxy.node import ProxyNode
 from burdockrun_proxy.server import ProxyServer
 
-EXIT_STATUSES = "exit status: 0 stopped after a drain, 1 cannot listen on its address, 2 bad settings"
+EXIT_STATUSES = (
+    "exit status: 0 stopped after a drain, 1 cannot listen on its address, 2 bad settings"
+)
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 
--- a/libs/proxy/burdockrun_proxy/status.py
+++ b/libs/proxy/burdockrun_proxy/status.py
@@ -85,9 +85,7 @@
         homes=tuple(_build_member_state(home, positions) for home in homes.values()),
         nodes=tuple(sorted(node.node for node in nodes)),
         rosters={
-            domain: RosterView(
-                epoch=roster.epoch, nodes=tuple(node.node for node in roster.nodes)
-            )
+            domain: RosterView(epoch=roster.epoch, nodes=tuple(node.node for node in roster.nodes))
             for domain, roster in sorted(rosters.items())
         },
     )
