Hold requests in gaps and keep a slot from slow statements

Change: offer(hold=True) judges by the deadline; the wait counts when each slot becomes free; one slot is kept from statements so slow that urgent work could not wait for them, if worth says so; configure() changes ranks and slots in place; count_waiting(); the last place of an account limiter is for an account that holds none.

--- a/libs/admission/burdockrun_admission/__init__.py
+++ b/libs/admission/burdockrun_admission/__init__.py
@@ -5,6 +5,11 @@
     EVENT_ACCOUNT_LIMITED,
     EVENT_WORK_EXPIRED,
     EVENT_WORK_REFUSED,
+    METRIC_ACCOUNT_LIMITED,
+    METRIC_EXPIRED,
+    METRIC_REFUSED,
+    METRIC_SERVICE_MS,
+    METRIC_WAIT_MS,
 )
 from burdockrun_admission.first_come import FirstComeQueue
 from burdockrun_admission.models import Refusal, Take, Work
@@ -14,6 +19,11 @@
     "EVENT_ACCOUNT_LIMITED",
     "EVENT_WORK_EXPIRED",
     "EVENT_WORK_REFUSED",
+    "METRIC_ACCOUNT_LIMITED",
+    "METRIC_EXPIRED",
+    "METRIC_REFUSED",
+    "METRIC_SERVICE_MS",
+    "METRIC_WAIT_MS",
     "AccountLimiter",
     "FirstComeQueue",
     "RankScheduler",
--- a/libs/admission/burdockrun_admission/accounts.py
+++ b/libs/admission/burdockrun_admission/accounts.py
@@ -9,7 +9,7 @@
     """Shares `total` places in flight among client accounts.
 
     An account may hold at most `ACCOUNT_SPARE_FACTOR` times the places that are free, so a single
-    one can use most of them, but another always finds some.
+    one can use most of them. The last free place is for an account that holds none.
 
     >>> limiter = AccountLimiter(10)
     >>> sum(limiter.try_enter("bayern") for _ in range(20))
@@ -25,7 +25,8 @@
 
     def try_enter(self, account: str) -> bool:
         """Take a place for one request; False when the account holds its share."""
-        if self._held.get(account, 0) >= self._free * ACCOUNT_SPARE_FACTOR:
+        held = self._held.get(account, 0)
+        if held >= self._free * ACCOUNT_SPARE_FACTOR or (held and self._free <= 1):
             return False
         self._held[account] += 1
         self._free -= 1
--- a/libs/admission/burdockrun_admission/const.py
+++ b/libs/admission/burdockrun_admission/const.py
@@ -16,9 +16,14 @@
 TAIL_DEVIATIONS: Final = 5.0
 # The same for the sum of the service times of the work ahead, which is closer to normal.
 QUEUE_DEVIATIONS: Final = 4.0
+# The same for the end of the statement that holds a slot, most of which end earlier.
+BUSY_DEVIATIONS: Final = 1.0
+# Share of the urgent work that slow statements in all slots make late, as simulated.
+BLOCKED_SHARE: Final = 0.25
 
 USAGE_WINDOW_MS: Final = 500.0
 ADMITTED_EWMA_WEIGHT: Final = 0.02
+SHARE_LIFE_MS: Final = 20
 MIN_SHARE: Final = 0.01
 # Floor credit is kept within this many service times.
 MAX_FLOOR_CREDIT: Final = 8.0
@@ -37,6 +42,12 @@
 MAX_RETRY_AFTER_MS: Final = 5_000
 ACCOUNT_SPARE_FACTOR: Final = 4
 
+METRIC_REFUSED: Final = "admission.refused"
+METRIC_EXPIRED: Final = "admission.expired"
+METRIC_ACCOUNT_LIMITED: Final = "admission.account_limited"
+METRIC_WAIT_MS: Final = "admission.wait_ms"
+METRIC_SERVICE_MS: Final = "admission.service_ms"
+
 EVENT_WORK_REFUSED: Final = define_event(
     401, "work_refused", Level.DEBUG, "A request was refused because its expected wait is too long"
 )
--- a/libs/admission/burdockrun_admission/experiment.py
+++ b/libs/admission/burdockrun_admission/experiment.py
@@ -22,6 +22,7 @@
 URGENT_FLOOD = (FLOOD, 0.5, 0.5)
 ROUTINE_FLOOD = (0.5, 0.3, FLOOD)
 STOP_MS = 1_500
+SLOW = 6.0
 
 USERS: dict[str, tuple[Rank, ...]] = {
     "bayern": (
@@ -54,7 +55,10 @@
 
 
 def make_scenarios(duration_ms: int) -> tuple[Scenario, ...]:
-    """Return floods of the most and the least urgent rank, and one that turns, with a stop too."""
+    """Return floods of the most and the least urgent rank, and one that turns, with a stop too.
+
+    The last one is a flood of routine statements that each take `SLOW` times as long.
+    """
     half_ms = duration_ms // 2
     urgent = (Phase(duration_ms=duration_ms, loads=URGENT_FLOOD),)
     routine = (Phase(duration_ms=duration_ms, loads=ROUTINE_FLOOD),)
@@ -63,11 +67,12 @@
         Phase(duration_ms=half_ms, loads=URGENT_FLOOD),
     )
     stop = (half_ms + 1_000, half_ms + 1_000 + STOP_MS)
-    return tuple(
+    scenarios = [
         Scenario(name=name + suffix, phases=phases, stops=stops)
         for name, phases in (("urgent", urgent), ("routine", routine), ("turning", turning))
         for suffix, stops in (("", ()), ("-stop", (stop,)))
-    )
+    ]
+    return (*scenarios, Scenario(name="slow-routine", phases=routine, slowness=(1.0, 1.0, SLOW)))
 
 
 def measure(scheduler: Scheduler, ranks: tuple[Rank, ...], scenario: Scenario, seed: int) -> Score:
@@ -101,12 +106,13 @@
 
 
 def _summarise(scores: list[Score]) -> dict[str, float]:
-    """Return the shares over all seeds, with the worst seed for floors and useful work."""
+    """Return the share of urgent work over all seeds, and the worst seed of each share."""
     admitted = sum(score.urgent_admitted for score in scores)
     in_target = sum(score.urgent_admitted * score.urgent_in_target for score in scores)
     return {
         "urgent_admitted": admitted,
         "urgent_in_target": round(in_target / admitted, 5),
+        "urgent_in_target_worst": round(min(score.urgent_in_target for score in scores), 5),
         "useful": round(min(score.useful for score in scores), 4),
         "floor_kept": round(min(score.floor_kept for score in scores), 3),
         "worth_per_s": round(sum(score.worth_per_s for score in scores) / len(scores)),
--- a/libs/admission/burdockrun_admission/models.py
+++ b/libs/admission/burdockrun_admission/models.py
@@ -7,7 +7,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Work:
-    """Request that waits for a slot; times are absolute, in ms of the node's clock."""
+    """Request that waits for a slot.
+
+    Ids are unique within a scheduler; times are absolute, in ms of the node's clock.
+    """
 
     work_id: int
     rank: str
--- a/libs/admission/burdockrun_admission/queues.py
+++ b/libs/admission/burdockrun_admission/queues.py
@@ -72,7 +72,9 @@
         while turns:
             account = turns[0]
             queue = self._queues[account]
-            work = self._find_head(queue, late_before_ms)
+            work = queue[0] if queue else None
+            if work is None or work.work_id not in self.works or work.arrived_ms < late_before_ms:
+                work = self._find_head(queue, late_before_ms)
             if work is None:
                 turns.popleft()
                 del self._queues[account], self._deficits[account]
@@ -90,7 +92,11 @@
                 turns.rotate(-1)
             queue.popleft()
             del self.works[work.work_id]
-            self._release(account)
+            held = self._held[account]
+            if held > 1:
+                self._held[account] = held - 1
+            else:
+                self._release(account)
             return work
         while self._late:
             work = self._late.popleft()
--- a/libs/admission/burdockrun_admission/scheduler.py
+++ b/libs/admission/burdockrun_admission/scheduler.py
@@ -2,13 +2,14 @@
 
 import math
 from collections.abc import Mapping, Sequence
-from typing import Final, NamedTuple
+from typing import Final
 
 from burdockrun_messages import Code, Rank
 from result import Err, Ok, Result
 
 from burdockrun_admission.const import (
     ADMITTED_EWMA_WEIGHT,
+    BUSY_DEVIATIONS,
     MAX_FLOOR_CREDIT,
     MAX_RETRY_AFTER_MS,
     MIN_PROBE_MS,
@@ -19,63 +20,13 @@
     READY_STALL_FACTOR,
 )
 from burdockrun_admission.models import Refusal, Take, Work
-from burdockrun_admission.queues import RankQueue
-from burdockrun_admission.service import ServiceEstimate, Usage
+from burdockrun_admission.ranks import RankState
+from burdockrun_admission.slots import StartedWork, wait_for_slots
 
 _ADMITTED: Final[Ok[None]] = Ok(None)
 _NOTHING: Final = Take()
 
 
-class _RankState:
-    """Queue, estimates and floor credit of one rank."""
-
-    __slots__ = (
-        "admitted_share",
-        "credit_ms",
-        "less_urgent",
-        "margin_ms",
-        "more_urgent",
-        "queue",
-        "rank",
-        "service",
-        "usage",
-    )
-
-    def __init__(self, rank: Rank, slots: int, weights: Mapping[str, float]) -> None:
-        self.rank = rank
-        self.queue = RankQueue(weights)
-        self.service = ServiceEstimate()
-        self.usage = Usage(slots)
-        self.credit_ms = 0.0
-        self.admitted_share = 1.0
-        self.margin_ms = 0.0
-        self.more_urgent: tuple[_RankState, ...] = ()
-        self.less_urgent: tuple[_RankState, ...] = ()
-        self._set_margin()
-
-    def learn(self, sample_ms: float, now_ms: int) -> None:
-        """Take one measured service time into account."""
-        self.service.learn(sample_ms)
-        self.usage.add(sample_ms, now_ms)
-        self._set_margin()
-
-    def _set_margin(self) -> None:
-        """Set how close to its deadline work is dropped.
-
-        A quarter of the target bounds the effect of an estimate that has gone wrong.
-        """
-        likely_ms = self.service.mean_ms + self.service.deviation_ms
-        self.margin_ms = min(likely_ms, self.rank.target_ms / 4)
-
-
-class _Started(NamedTuple):
-    """Work in service, since when, and the slot time that was charged for it in advance."""
-
-    work: Work
-    at_ms: int
-    cost_ms: float
-
-
 class RankScheduler:
     """Decides which request may enter, and which one gets the next free slot.
 
@@ -90,28 +41,53 @@
         slots: int,
         account_weights: Mapping[str, float] | None = None,
     ) -> None:
-        self._slots = slots
-        weights = dict(account_weights or {})
-        ordered = sorted(ranks, key=lambda rank: (rank.order, -rank.worth))
-        self._states = [_RankState(rank, slots, weights) for rank in ordered]
-        for place, state in enumerate(self._states):
-            state.more_urgent = tuple(self._states[:place])
-            state.less_urgent = tuple(self._states[place + 1 :])
-        self._floored = [state for state in self._states if state.rank.floor > 0.0]
+        self._weights = dict(account_weights or {})
+        self._by_name: dict[str, RankState] = {}
         self._uncredited_ms = 0.0
+        self._blocking = 0
         self._waiting = 0
-        self._by_name = {state.rank.name: state for state in self._states}
-        self._started: dict[int, _Started] = {}
+        self._started: dict[int, StartedWork] = {}
         # Since when a free slot and waiting work have not met; None while there is no such pair.
         self._ready_since_ms: int | None = None
         self._progress_ms = 0
         self._next_probe_ms = 0
+        # No waiting work has to be dropped before this time.
+        self._next_expiry_ms = math.inf
+        self.configure(ranks, slots)
+
+    def configure(self, ranks: Sequence[Rank], slots: int) -> tuple[Work, ...]:
+        """Change ranks and slots; returns waiting work whose rank is gone, for refusal.
+
+        Ranks that stay keep their queue and what they have learned.
+        """
+        known = self._by_name
+        self._slots = slots
+        self._states: list[RankState] = []
+        for rank in sorted(ranks, key=lambda rank: (rank.order, -rank.worth)):
+            state = known.get(rank.name) or RankState(rank, self._weights)
+            state.configure(rank, slots)
+            self._states.append(state)
+        for place, state in enumerate(self._states):
+            state.more_urgent = tuple(self._states[:place])
+            state.less_urgent = tuple(self._states[place + 1 :])
+        self._floored = [state for state in self._states if state.rank.floor > 0.0]
+        self._by_name = {state.rank.name: state for state in self._states}
+        gone: list[Work] = []
+        for name, state in known.items():
+            if name not in self._by_name:
+                gone += state.queue.clear()
+        self._waiting -= len(gone)
+        return tuple(gone)
 
     @property
     def waiting(self) -> int:
         """Number of requests that wait."""
         return self._waiting
 
+    def count_waiting(self) -> dict[str, int]:
+        """Return the number of requests that wait by rank, most urgent first."""
+        return {state.rank.name: len(state.queue.works) for state in self._states}
+
     @property
     def in_service(self) -> int:
         """Number of slots in use."""
@@ -151,18 +127,20 @@
 
     def take(self, now_ms: int) -> Take:
         """Give the next request a slot, if one is free, and drop what cannot finish in time."""
-        expired = self.expire(now_ms)
+        expired = self.expire(now_ms) if now_ms >= self._next_expiry_ms else ()
         if len(self._started) >= self._slots:
             return Take(expired=expired) if expired else _NOTHING
         self._ready_since_ms = None
-        state = self._choose()
+        state = self._choose(now_ms)
         if state is None:
             return Take(expired=expired) if expired else _NOTHING
         cost_ms = state.service.mean_ms
         self._pay_floors(state, cost_ms)
         work = state.queue.pop(now_ms + math.ceil(cost_ms) - state.rank.target_ms)
         if work is not None:
-            self._started[work.work_id] = _Started(work, now_ms, cost_ms)
+            free_ms = now_ms + cost_ms + BUSY_DEVIATIONS * state.service.deviation_ms
+            self._started[work.work_id] = StartedWork(work, now_ms, cost_ms, free_ms, state.blocks)
+            self._blocking += state.blocks
             self._waiting -= 1
         self._progress_ms = now_ms
         if self._waiting and len(self._started) < self._slots:
@@ -171,30 +149,38 @@
 
     def expire(self, now_ms: int) -> tuple[Work, ...]:
         """Drop waiting work that cannot finish before its deadline."""
-        expired: list[Work] | None = None
+        if now_ms < self._next_expiry_ms:
+            return ()
+        expired: list[Work] = []
+        self._next_expiry_ms = math.inf
         for state in self._states:
-            deadlines = state.queue.deadlines
-            if deadlines and deadlines[0][0] < now_ms + state.margin_ms:
-                dropped = state.queue.expire(now_ms + state.margin_ms)
-                self._waiting -= len(dropped)
-                expired = expired + dropped if expired else dropped
-        return tuple(expired) if expired else ()
+            margin_ms = state.margin_ms()
+            expired += state.queue.expire(now_ms + margin_ms)
+            if state.queue.deadlines:
+                next_ms = state.queue.deadlines[0][0] - margin_ms
+                self._next_expiry_ms = min(self._next_expiry_ms, next_ms)
+        self._waiting -= len(expired)
+        return tuple(expired)
 
     def complete(self, work_id: int, now_ms: int) -> None:
         """Free the slot of a request and learn its service time."""
         started = self._started.pop(work_id, None)
         if started is None:
             return
+        self._blocking -= started.blocks
         self._progress_ms = now_ms
         if self._ready_since_ms is None and self._waiting:
             self._ready_since_ms = now_ms
-        state = self._by_name[started.work.rank]
+        state = self._by_name.get(started.work.rank)
+        if state is None:
+            return
         sample_ms = now_ms - started.at_ms
         extra_ms = sample_ms - started.cost_ms
         self._uncredited_ms += extra_ms
         state.credit_ms -= extra_ms
         state.queue.charge(started.work.account, extra_ms / started.cost_ms)
-        state.learn(sample_ms, now_ms)
+        state.service.learn(sample_ms)
+        state.usage.add(sample_ms, now_ms)
 
     def cancel(self, work_id: int) -> bool:
         """Withdraw a waiting request; False when it does not wait (any more)."""
@@ -203,9 +189,12 @@
         self._waiting -= 1
         return True
 
-    def _admit(self, state: _RankState, work: Work, now_ms: int, *, late: bool = False) -> None:
+    def _admit(self, state: RankState, work: Work, now_ms: int, *, late: bool = False) -> None:
         state.queue.push(work, late=late)
         self._waiting += 1
+        self._next_expiry_ms = min(
+            self._next_expiry_ms, work.deadline_ms - state.rank.target_ms / 4
+        )
         if self._ready_since_ms is None and len(self._started) < self._slots:
             self._ready_since_ms = now_ms
 
@@ -225,7 +214,7 @@
         self._next_probe_ms = now_ms + max(MIN_PROBE_MS, gap_ms)
         return True
 
-    def _stall_ms(self, state: _RankState, now_ms: int) -> float:
+    def _stall_ms(self, state: RankState, now_ms: int) -> float:
         """Return how long slots that have stopped are expected to stay so; 0 when they work."""
         if self._ready_since_ms is not None:
             gap_ms = now_ms - self._ready_since_ms
@@ -236,7 +225,7 @@
         return 0.0
 
     def _estimate_wait(
-        self, state: _RankState, account: str, now_ms: int, *, hold: bool
+        self, state: RankState, account: str, now_ms: int, *, hold: bool
     ) -> tuple[float, bool]:
         """Return the wait in ms that hardly any request exceeds, and whether the rank is crowded.
 
@@ -245,28 +234,37 @@
         ahead = len(state.queue.works) if hold else state.queue.count_ahead(account)
         crowded = ahead > self._slots
         service = state.service
-        ahead_ms = (ahead + 1.0) * service.mean_ms
-        share = 1.0
+        ahead_ms = ahead * service.mean_ms
         for other in state.more_urgent:
             queue = other.queue
-            waiting = len(queue.works) - len(queue.late_ids)
-            ahead += waiting
-            ahead_ms += waiting * other.service.mean_ms
-            # The load that is asked for tells of a flood before the load that is served does.
-            share -= other.usage.share(now_ms) / max(MIN_SHARE, other.admitted_share)
-        for other in state.less_urgent:
-            if other.queue.works:
-                share -= other.rank.floor
-        share = max(share, state.rank.floor, MIN_SHARE)
+            waiting = len(queue.works) if hold else len(queue.works) - len(queue.late_ids)
+            if waiting:
+                ahead += waiting
+                ahead_ms += waiting * other.service.mean_ms
+        # What was asked for before a gap is asked for again after it.
+        load_ms = now_ms if self._ready_since_ms is None else self._ready_since_ms
+        if load_ms >= state.share_until_ms:
+            state.update_share(load_ms)
+        share = state.share
+        if hold:
+            # Work that is held gets what the work of its rank that is in time leaves over.
+            share = max(MIN_SHARE, share - state.asked_share(load_ms))
         spread_ms = QUEUE_DEVIATIONS * service.deviation_ms * math.sqrt(ahead)
-        return (ahead_ms / share + spread_ms) / self._slots, crowded
+        wait_ms = wait_for_slots(
+            self._started.values(), self._slots, ahead_ms / share + spread_ms, now_ms
+        )
+        return wait_ms, crowded
 
-    def _choose(self) -> _RankState | None:
-        """Return the rank whose floor is owed most, or else the most urgent one that waits."""
-        owed: _RankState | None = None
-        first: _RankState | None = None
+    def _choose(self, now_ms: int) -> RankState | None:
+        """Return the rank whose floor is owed most, or else the most urgent one that waits.
+
+        One slot is kept from statements so slow that urgent work could not wait for them.
+        """
+        is_last = 0 < self._slots - 1 <= self._blocking
+        owed: RankState | None = None
+        first: RankState | None = None
         for state in self._states:
-            if not state.queue.works:
+            if not state.queue.works or (is_last and state.would_block(now_ms)):
                 continue
             if first is None:
                 first = state
@@ -274,7 +272,7 @@
                 owed = state
         return owed or first
 
-    def _pay_floors(self, chosen: _RankState, cost_ms: float) -> None:
+    def _pay_floors(self, chosen: RankState, cost_ms: float) -> None:
         """Charge slot time to `chosen`, and credit every rank that waits with its floor of it."""
         spent_ms = cost_ms + self._uncredited_ms
         self._uncredited_ms = 0.0
--- a/libs/admission/burdockrun_admission/service.py
+++ b/libs/admission/burdockrun_admission/service.py
@@ -56,10 +56,10 @@
     0.5
     """
 
-    __slots__ = ("_at_ms", "_busy_ms", "_slots")
+    __slots__ = ("_at_ms", "_busy_ms", "slots")
 
     def __init__(self, slots: int) -> None:
-        self._slots = slots
+        self.slots = slots
         self._busy_ms = 0.0
         self._at_ms = 0
 
@@ -71,4 +71,4 @@
     def share(self, now_ms: int) -> float:
         """Return the share of all slots, about 0 to 1."""
         decay = math.exp((self._at_ms - now_ms) / USAGE_WINDOW_MS)
-        return self._busy_ms * decay / (USAGE_WINDOW_MS * self._slots)
+        return self._busy_ms * decay / (USAGE_WINDOW_MS * self.slots)
--- a/libs/admission/burdockrun_admission/simulation.py
+++ b/libs/admission/burdockrun_admission/simulation.py
@@ -46,11 +46,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Scenario:
-    """Load in phases, and times `(from_ms, to_ms)` in which the member takes nothing."""
+    """Load in phases, and times `(from_ms, to_ms)` in which the member takes nothing.
+
+    `slowness` are the mean service times of each rank as multiples of `SERVICE_MS`.
+    """
 
     name: str
     phases: tuple[Phase, ...]
     stops: tuple[tuple[int, int], ...] = ()
+    slowness: tuple[float, ...] = (1.0, 1.0, 1.0)
 
     @property
     def duration_ms(self) -> int:
@@ -96,6 +100,9 @@
         self._events: list[tuple[float, int, Work | None, float]] = []
         self._sequence = 0
         self._result = _make_result(ranks, scenario)
+        self._slowness = {
+            rank.name: factor for rank, factor in zip(ranks, scenario.slowness, strict=True)
+        }
         self._targets = {rank.name: rank.target_ms for rank in ranks}
 
     def run(self) -> SimulationResult:
@@ -116,7 +123,7 @@
         start_ms = 0.0
         for phase in self._scenario.phases:
             for rank, load in zip(self._ranks, phase.loads, strict=True):
-                rate = load * SLOTS / SERVICE_MS
+                rate = load * SLOTS / (SERVICE_MS * self._slowness[rank.name])
                 at_ms = start_ms
                 while rate and (at_ms := at_ms + self._arrivals.expovariate(rate)) < (
                     start_ms + phase.duration_ms
@@ -145,7 +152,8 @@
         if any(from_ms <= at_ms < to_ms for from_ms, to_ms in self._scenario.stops):
             return
         while (work := self._scheduler.take(int(at_ms)).work) is not None:
-            self._push(at_ms + self._draw_service_ms(), work, at_ms)
+            service_ms = self._draw_service_ms() * self._slowness[work.rank]
+            self._push(at_ms + service_ms, work, at_ms)
 
     def _finish(self, work: Work, started_ms: float, at_ms: float) -> None:
         self._scheduler.complete(work.work_id, int(at_ms))
--- /dev/null
+++ b/libs/admission/burdockrun_admission/slots.py
@@ -0,0 +1,57 @@
+"""Work in service and the wait for a slot."""
+
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from burdockrun_admission.models import Work
+
+
+class StartedWork(NamedTuple):
+    """Work in service.
+
+    `cost_ms` is the slot time charged in advance, `free_ms` the time at which it should end, and
+    `blocks` says that more urgent work could not wait for it.
+    """
+
+    work: Work
+    at_ms: int
+    cost_ms: float
+    free_ms: float
+    blocks: bool
+
+
+def wait_for_slots(
+    started: Iterable[StartedWork], slots: int, ahead_ms: float, now_ms: int
+) -> float:
+    """Return in how many ms new work gets a slot, with `ahead_ms` of slot time before it.
+
+    The slots in use become free one after the other, and share the work ahead from then on.
+
+    >>> wait_for_slots((), 2, 12.0, 0)
+    6.0
+    >>> work = Work(work_id=1, rank="a", account="b", arrived_ms=0, deadline_ms=9)
+    >>> busy = [StartedWork(work, 0, 4.0, free_ms, False) for free_ms in (4.0, 40.0)]
+    >>> wait_for_slots(busy, 2, 12.0, 0)
+    16.0
+    """
+    total_ms, longest_ms = ahead_ms, 0.0
+    busy_ms: list[float] = []
+    for work in started:
+        remaining_ms = work.free_ms - now_ms
+        busy_ms.append(remaining_ms)
+        if remaining_ms > 0.0:
+            total_ms += remaining_ms
+            longest_ms = max(longest_ms, remaining_ms)
+    if longest_ms * slots <= total_ms and len(busy_ms) <= slots:
+        return total_ms / slots
+    free = slots - len(busy_ms)
+    wait_ms = ahead_ms / free if free > 0 else math.inf
+    for remaining_ms in sorted(busy_ms):
+        if remaining_ms >= wait_ms:
+            break
+        ahead_ms += max(0.0, remaining_ms)
+        free += 1
+        if free > 0:
+            wait_ms = ahead_ms / free
+    return wait_ms
--- a/tests/admission/test_accounts.py
+++ b/tests/admission/test_accounts.py
@@ -11,6 +11,13 @@
     assert sum(limiter.try_enter("andes") for _ in range(1_000)) >= 15
 
 
+def test_last_place_is_for_another_account() -> None:
+    """Guards against one account that takes every place of a small entry proxy."""
+    limiter = AccountLimiter(3)
+    assert sum(limiter.try_enter("bayern") for _ in range(10)) == 2
+    assert limiter.try_enter("andes")
+
+
 def test_places_come_back() -> None:
     """Guards against places that are lost, or returned twice."""
     limiter = AccountLimiter(4)
--- a/tests/admission/test_scheduler.py
+++ b/tests/admission/test_scheduler.py
@@ -1,5 +1,7 @@
 """Tests of the scheduler of a member's slots."""
 
+from dataclasses import replace
+
 from burdockrun_admission import RankScheduler
 from burdockrun_messages import Code
 from hypothesis import given, settings
@@ -197,3 +199,54 @@
         work = make_work(10 + step, arrived_ms=at_ms, deadline_ms=at_ms + 50)
         admitted += scheduler.offer(work, at_ms).is_ok()
     assert 2 <= admitted <= 10
+
+
+def test_held_work_is_served_by_rank_once_the_slots_are_back() -> None:
+    """Guards against requests that wait out a gap and come back in order of arrival, or never."""
+    scheduler = RankScheduler([replace(rank, floor=0.0) for rank in RANKS], slots=1)
+    for work_id, rank in enumerate((ROUTE, URGENT, VISIT, URGENT)):
+        assert scheduler.offer(make_work(work_id, rank), 100, hold=True).is_ok()
+    assert scheduler.expire(1_600) == ()
+    order = []
+    while (work := scheduler.take(1_600).work) is not None:
+        order.append(work.work_id)
+        scheduler.complete(work.work_id, 1_600)
+    assert order == [1, 3, 2, 0]
+
+
+def test_new_settings_keep_waiting_work() -> None:
+    """Guards against a change ticket that loses requests or exceeds the slots."""
+    scheduler = RankScheduler(RANKS, slots=1)
+    for work_id, rank in enumerate((URGENT, URGENT, VISIT, ROUTE)):
+        assert scheduler.offer(make_work(work_id, rank), 0).is_ok()
+    assert scheduler.take(0).work is not None
+    gone = scheduler.configure((URGENT, ROUTE), slots=2)
+    assert [work.rank for work in gone] == [VISIT.name]
+    assert scheduler.count_waiting() == {URGENT.name: 1, ROUTE.name: 1}
+    assert scheduler.take(0).work is not None
+    assert scheduler.take(0).work is None
+    assert scheduler.waiting == 1
+
+
+def test_slow_statements_leave_a_slot_to_urgent_work() -> None:
+    """Guards against routine statements in all slots, so slow that urgent work must be refused."""
+    scheduler = RankScheduler((URGENT, ROUTE), slots=2)
+    ends: dict[int, tuple[int, str]] = {}
+    refused = slow = 0
+    for now_ms in range(6_000):
+        for work_id in [key for key, (end_ms, _) in ends.items() if end_ms <= now_ms]:
+            scheduler.complete(work_id, now_ms)
+            del ends[work_id]
+        for rank, every_ms in ((URGENT, 20), (ROUTE, 10)):
+            if now_ms % every_ms == 0:
+                work_id = now_ms * 2 + rank.order
+                work = make_work(work_id, rank, arrived_ms=now_ms, deadline_ms=now_ms + 3_000)
+                is_refused = scheduler.offer(work, now_ms).is_err()
+                refused += is_refused and rank is URGENT and now_ms > 3_000
+        while (taken := scheduler.take(now_ms).work) is not None:
+            service_ms = 4 if taken.rank == URGENT.name else 60
+            ends[taken.work_id] = (now_ms + service_ms, taken.rank)
+        if now_ms > 3_000:
+            slow = max(slow, sum(rank == ROUTE.name for _, rank in ends.values()))
+    assert slow == 1
+    assert refused == 0
