--- a/libs/bench/burdockrun_bench/workload.py
+++ b/libs/bench/burdockrun_bench/workload.py
@@ -107,7 +107,9 @@
             return
 
         def answered(answer: StatementAnswer | None) -> None:
-            if answer is not None and answer.session is not None:
+            # A request without a token starts a session of its own; its token lacks our writes.
+            is_own = request.session is not None or self._token is None
+            if answer is not None and answer.session is not None and is_own:
                 self._token = answer.session
             done(answer)
 
