Spend less on estimates of the service time

Cause: one offer, take and complete took 17.9 to 21.4 us on a busy machine, above the goal of 15 us. Change: the tail is computed when a sample is learned in place of at each offer, and fewer calls on the way of an offer.

--- a/libs/admission/burdockrun_admission/scheduler.py
+++ b/libs/admission/burdockrun_admission/scheduler.py
@@ -108,10 +108,11 @@
         if not self._waiting and not hold and self._is_idle(now_ms):
             self._admit(state, work, now_ms)
             return _ADMITTED
-        limit_ms = work.deadline_ms
+        limit_ms, stall_ms = work.deadline_ms, 0.0
         if not hold:
-            limit_ms = min(limit_ms, work.arrived_ms + state.rank.target_ms)
-        stall_ms = 0.0 if hold else self._stall_ms(state, now_ms)
+            target_ms = work.arrived_ms + state.rank.target_ms
+            limit_ms = target_ms if target_ms < limit_ms else limit_ms
+            stall_ms = self._stall_ms(state, now_ms)
         wait_ms, crowded = self._estimate_wait(state, work.account, now_ms, hold=hold)
         allowed_ms = limit_ms - now_ms - state.service.tail_ms - stall_ms
         admitted = wait_ms <= allowed_ms and not (
@@ -192,9 +193,8 @@
     def _admit(self, state: RankState, work: Work, now_ms: int, *, late: bool = False) -> None:
         state.queue.push(work, late=late)
         self._waiting += 1
-        self._next_expiry_ms = min(
-            self._next_expiry_ms, work.deadline_ms - state.rank.target_ms / 4
-        )
+        expiry_ms = work.deadline_ms - state.rank.target_ms / 4
+        self._next_expiry_ms = min(self._next_expiry_ms, expiry_ms)
         if self._ready_since_ms is None and len(self._started) < self._slots:
             self._ready_since_ms = now_ms
 
@@ -236,8 +236,7 @@
         service = state.service
         ahead_ms = ahead * service.mean_ms
         for other in state.more_urgent:
-            queue = other.queue
-            waiting = len(queue.works) if hold else len(queue.works) - len(queue.late_ids)
+            waiting = len(other.queue.works) if hold else other.queue.in_time
             if waiting:
                 ahead += waiting
                 ahead_ms += waiting * other.service.mean_ms
--- a/libs/admission/burdockrun_admission/service.py
+++ b/libs/admission/burdockrun_admission/service.py
@@ -21,29 +21,29 @@
     the estimate, while a lasting change is followed within some tens of samples.
     """
 
-    __slots__ = ("_samples", "deviation_ms", "mean_ms")
+    __slots__ = ("_samples", "deviation_ms", "mean_ms", "tail_ms")
 
     def __init__(self) -> None:
         self.mean_ms = FIRST_SERVICE_MS
         self.deviation_ms = FIRST_DEVIATION_MS
+        # 99.9% of ordinary statements stay below this.
+        self.tail_ms = FIRST_SERVICE_MS + TAIL_DEVIATIONS * FIRST_DEVIATION_MS
         self._samples = 0
 
-    @property
-    def tail_ms(self) -> float:
-        """Service time that 99.9% of ordinary statements stay below."""
-        return self.mean_ms + TAIL_DEVIATIONS * self.deviation_ms
-
     def learn(self, sample_ms: float) -> None:
         """Take one measured service time into account."""
         # Cutting off at least one ms above the mean keeps the estimate able to leave zero.
-        limit_ms = OUTLIER_DEVIATIONS * self.deviation_ms + 1.0
-        difference_ms = min(sample_ms - self.mean_ms, limit_ms)
+        mean_ms, deviation_ms = self.mean_ms, self.deviation_ms
+        difference_ms = min(sample_ms - mean_ms, OUTLIER_DEVIATIONS * deviation_ms + 1.0)
         weight = SERVICE_EWMA_WEIGHT
         if self._samples < FIRST_SAMPLES:
             self._samples += 1
             weight = max(weight, 1.0 / (self._samples + 4))
-        self.mean_ms = max(MIN_SERVICE_MS, self.mean_ms + weight * difference_ms)
-        self.deviation_ms += weight * (abs(difference_ms) - self.deviation_ms)
+        mean_ms += weight * difference_ms
+        deviation_ms += weight * (abs(difference_ms) - deviation_ms)
+        self.mean_ms = mean_ms if mean_ms > MIN_SERVICE_MS else MIN_SERVICE_MS
+        self.deviation_ms = deviation_ms
+        self.tail_ms = mean_ms + TAIL_DEVIATIONS * deviation_ms
 
 
 class Usage:
--- a/libs/admission/burdockrun_admission/slots.py
+++ b/libs/admission/burdockrun_admission/slots.py
@@ -42,7 +42,7 @@
         busy_ms.append(remaining_ms)
         if remaining_ms > 0.0:
             total_ms += remaining_ms
-            longest_ms = max(longest_ms, remaining_ms)
+            longest_ms = longest_ms if longest_ms > remaining_ms else remaining_ms
     if longest_ms * slots <= total_ms and len(busy_ms) <= slots:
         return total_ms / slots
     free = slots - len(busy_ms)
