--- a/libs/fleet/burdockrun_fleet/coordinator.py
+++ b/libs/fleet/burdockrun_fleet/coordinator.py
@@ -181,7 +181,9 @@
             return
         if not self._vm_backoff.is_ready(now_ms):
             return
-        self._next_vms_ms = now_ms + max(VM_LIST_MS, VM_LIST_MS_PER_VM * len(self._parts.vms))
+        # The part above the least period is random, so that coordinators do not read in step.
+        more_ms = max(0, VM_LIST_MS_PER_VM * len(self._parts.vms) - VM_LIST_MS)
+        self._next_vms_ms = now_ms + VM_LIST_MS + self._parts.rng.randint(0, 2 * more_ms)
         self._vm_waiting = self._parts.port.call(ListVms(), self._receive_vms, now_ms)
 
     def _receive_vms(self, reply: PlatformReply, now_ms: int) -> None:
