Count confirmation and travel in the time that admission allows

Change: two statements are sent ahead; the learned time for confirmation and the time on links shorten what is allowed; the useful share counts only answers within the phase.

--- a/libs/bench/burdockrun_bench/arrivals.py
+++ b/libs/bench/burdockrun_bench/arrivals.py
@@ -36,19 +36,24 @@
 
 @dataclass(kw_only=True, slots=True)
 class Tally:
-    """Counts of one rank; latencies in ms are those of requests that are done."""
+    """Counts of one rank; latencies and times of answers in ms are those of requests done."""
 
     offered: int = 0
     done: int = 0
     in_target: int = 0
     codes: Counter[str] = field(default_factory=Counter)
     latencies_ms: list[int] = field(default_factory=list)
+    done_at_ms: list[int] = field(default_factory=list)
 
     @property
     def admitted(self) -> int:
         """Return how many requests were not refused on arrival."""
         return self.offered - self.codes["overloaded"]
 
+    def count_done_by(self, end_ms: int) -> int:
+        """Return how many requests were done by a time."""
+        return sum(at_ms <= end_ms for at_ms in self.done_at_ms)
+
     def find_percentile(self, share: float) -> int:
         """Return a percentile of the latencies in ms, 0 when there are none."""
         ordered = sorted(self.latencies_ms)
@@ -135,6 +140,7 @@
         latency_ms = now_ms - sent_ms - 2 * self._cluster.plan.client_ms
         tally.done += 1
         tally.latencies_ms.append(latency_ms)
+        tally.done_at_ms.append(now_ms)
         tally.in_target += latency_ms <= stream.rank.target_ms
         if request.access is Access.WRITE:
             self.acknowledged_ms.setdefault(request.database, []).append(now_ms)
--- a/libs/bench/burdockrun_bench/measure_program.py
+++ b/libs/bench/burdockrun_bench/measure_program.py
@@ -75,6 +75,7 @@
             "admitted": tally.admitted,
             "done": tally.done,
             "in_target_of_admitted": round(tally.in_target / max(1, tally.admitted), 4),
+            "codes": dict(sorted(tally.codes.items())),
             "p50_ms": tally.find_percentile(0.5),
             "p99_ms": tally.find_percentile(0.99),
         }
--- a/libs/bench/burdockrun_bench/measures.py
+++ b/libs/bench/burdockrun_bench/measures.py
@@ -132,7 +132,8 @@
             # Work that is admitted is answered within the longest target; the phases stay apart.
             cluster.loop.run_until(start_ms + FLOOD_PHASE_MS + service.ranks[-1].target_ms)
             phases[name] = arrivals.tallies
-            done = sum(tally.done for tally in arrivals.tallies.values())
+            end_ms = start_ms + FLOOD_PHASE_MS
+            done = sum(tally.count_done_by(end_ms) for tally in arrivals.tallies.values())
             useful[name] = done / (self._find_capacity() * FLOOD_PHASE_MS)
         return FloodResult(phases=phases, useful_share=useful)
 
--- a/libs/proxy/burdockrun_proxy/home.py
+++ b/libs/proxy/burdockrun_proxy/home.py
@@ -28,7 +28,8 @@
 from burdockrun_routing import PositionTable, estimate_catch_up_ms
 from result import Err
 
-from burdockrun_proxy.const import CONNECTION_FAILED, STALL_MS
+from burdockrun_proxy.const import CONNECTION_FAILED, MAX_CONFIRMATION_MS, STALL_MS
+from burdockrun_proxy.estimates import DelayEstimate
 from burdockrun_proxy.freshness import FreshnessCheck
 from burdockrun_proxy.models import (
     Connection,
@@ -86,6 +87,7 @@
         self._on_life = on_life
         self._budget = 0
         self._answered_ms = 0
+        self._confirmation = DelayEstimate()
         self._waiting: dict[int, HomeRequest] = {}
         self._parked: list[tuple[int, HomeRequest]] = []
         self.pool = ConnectionPool(member, outbox, ids)
@@ -242,7 +244,7 @@
             work_id=next(self._ids),
             rank=request.rank,
             account=request.request.account,
-            arrived_ms=now_ms,
+            arrived_ms=now_ms - self._find_overhead_ms(request),
             deadline_ms=request.deadline_ms,
         )
         hold = request.waited_out_gap or self._is_stalled(now_ms)
@@ -252,6 +254,13 @@
             return
         self._waiting[work.work_id] = request
 
+    def _find_overhead_ms(self, request: HomeRequest) -> int:
+        """Return the time that a request spends outside the queue and the member."""
+        confirmation_ms = 0.0
+        if needs_settlement(request.request):
+            confirmation_ms = min(self._confirmation.upper_ms, MAX_CONFIRMATION_MS)
+        return round(request.travel_ms + confirmation_ms)
+
     def _is_stalled(self, now_ms: int) -> bool:
         """Return whether the member has statements but has answered none for a while.
 
@@ -392,6 +401,7 @@
 
         def confirmed(held: bool, at_ms: int) -> None:
             if held:
+                self._confirmation.add(at_ms - now_ms)
                 self._reply_done(execution, answer, at_ms)
                 return
             self._settle(request, at_ms)
--- a/libs/proxy/burdockrun_proxy/models.py
+++ b/libs/proxy/burdockrun_proxy/models.py
@@ -36,8 +36,9 @@
 class HomeRequest:
     """Request at the home of a member; `deadline_ms` is a point in time.
 
-    `waited_out_gap` says that the request was held while there was no primary. `held_reply` is the
-    reply to a read that is done but waits for the proof that the member was still the primary.
+    `travel_ms` is the time for the way to the home and back. `waited_out_gap` says that the request
+    was held while there was no primary. `held_reply` is the reply to a read that is done but waits
+    for the proof that the member was still the primary.
     """
 
     request: StatementRequest
@@ -46,6 +47,7 @@
     required: LogPosition | None
     max_lag_ms: int | None
     on_reply: OnHomeReply
+    travel_ms: int = 0
     waited_out_gap: bool = False
     answered: bool = False
     attempts: int = 0
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -50,6 +50,8 @@
     PROCESS_PAUSED,
     PROXY_DRAINING,
     TERM_LEARNED,
+    TRAVEL_BETWEEN_DOMAINS_MS,
+    TRAVEL_WITHIN_DOMAIN_MS,
 )
 from burdockrun_proxy.entry import EntryDesk
 from burdockrun_proxy.freshness import FreshnessCheck
@@ -250,11 +252,18 @@
             required=message.required,
             max_lag_ms=message.max_lag_ms,
             waited_out_gap=message.waited_out_gap,
+            travel_ms=self._find_travel_ms(message.sender),
             on_reply=partial(self._send_forward_answer, message),
         )
         if not self._accept(message.member, request, now_ms):
             self._send_forward_answer(message, HomeReply(status=ForwardStatus.NOT_HOME), now_ms)
 
+    def _find_travel_ms(self, sender: NodeInfo) -> int:
+        """Return the time in ms that a request from `sender` spends on links."""
+        if sender.domain == self.info.domain:
+            return TRAVEL_WITHIN_DOMAIN_MS
+        return TRAVEL_BETWEEN_DOMAINS_MS
+
     def _send_forward_answer(self, message: Forward, reply: HomeReply, now_ms: int) -> None:
         self._forwarded -= 1
         self._outbox.send_peer(
--- a/libs/proxy/burdockrun_proxy/policies.py
+++ b/libs/proxy/burdockrun_proxy/policies.py
@@ -36,7 +36,7 @@
 
 
 # One statement waits at the member, so that a slot is not idle for the round trip to the home.
-SENT_AHEAD: Final = 1
+SENT_AHEAD: Final = 2
 
 
 class WorkScheduler(Protocol):
