Write JSON logs as JSON and record promotions and tickets in the audit trail

Cause: the proxy's log lines in JSON had the prefix of absl, the statsd prefix of the settings had no effect, a setting named a limit per client account that is one of the node, and the audit trail held neither promotions nor tickets. Change: all programs set up their logs by one function; the prefix is passed on; the setting is max_in_flight; coordinators record tickets with author and reason, the promoter records the new term.

--- a/libs/base/burdockrun_base/__init__.py
+++ b/libs/base/burdockrun_base/__init__.py
@@ -12,6 +12,7 @@
     define_event,
     list_events,
 )
+from burdockrun_base.logs import set_up_logs
 from burdockrun_base.metrics import Metrics
 from burdockrun_base.registry import Registry
 
@@ -31,4 +32,5 @@
     "SystemClock",
     "define_event",
     "list_events",
+    "set_up_logs",
 ]
--- a/libs/control/burdockrun_control/program.py
+++ b/libs/control/burdockrun_control/program.py
@@ -3,14 +3,12 @@
 import argparse
 import asyncio
 import contextlib
-import logging as standard_logging
 import os
 import sys
 from collections.abc import Sequence
 
 import aiohttp
-from absl import flags, logging
-from burdockrun_base import EventLog
+from burdockrun_base import EventLog, set_up_logs
 from burdockrun_platform import PlatformClient
 
 from burdockrun_control.arguments import build_parser
@@ -36,8 +34,8 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Run one command and return its exit status."""
     arguments = build_parser().parse_args(argv)
-    _set_up_log()
-    events = EventLog(arguments.log_format)
+    _make_output_robust()
+    events = set_up_logs(arguments.log_format, plain=True)
     try:
         return _run(arguments, events)
     except BrokenPipeError:
@@ -51,15 +49,10 @@
         return EXIT_UNREACHABLE
 
 
-def _set_up_log() -> None:
+def _make_output_robust() -> None:
     for stream in (sys.stdout, sys.stderr):
         with contextlib.suppress(AttributeError):
             stream.reconfigure(errors="backslashreplace")  # type: ignore[union-attr]
-    # Without this absl writes a warning of its own before the first line.
-    flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    logging.get_absl_handler().setFormatter(standard_logging.Formatter("%(message)s"))
 
 
 def _run(arguments: argparse.Namespace, events: EventLog) -> int:
--- a/libs/endpoint/burdockrun_endpoint/command_line.py
+++ b/libs/endpoint/burdockrun_endpoint/command_line.py
@@ -1,11 +1,9 @@
-"""Command line and logging that the stand-in programs share."""
+"""Command line that the stand-in programs share."""
 
 import argparse
-import logging as standard_logging
 from importlib import metadata
 
-from absl import flags, logging
-from burdockrun_base import FORMAT_JSON, FORMAT_TEXT, EventLog
+from burdockrun_base import FORMAT_JSON, FORMAT_TEXT
 
 from burdockrun_endpoint.const import EXIT_CANNOT_LISTEN, EXIT_STOPPED, EXIT_USAGE
 
@@ -40,14 +38,3 @@
     if number < 0:
         raise ValueError(f"expected a number of at least 0, found {text}")
     return number
-
-
-def start_logging(log_format: str) -> EventLog:
-    """Send log events to standard error, in JSON as one object per line."""
-    flags.FLAGS.mark_as_parsed()  # else absl writes a warning before the first event
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    if log_format == FORMAT_JSON:
-        handler = logging.get_absl_handler()
-        handler.setFormatter(standard_logging.Formatter("%(message)s"))
-    return EventLog(log_format)
--- a/libs/endpoint/burdockrun_endpoint/member_program.py
+++ b/libs/endpoint/burdockrun_endpoint/member_program.py
@@ -6,9 +6,9 @@
 import sys
 from collections.abc import Sequence
 
-from burdockrun_base import Application
+from burdockrun_base import Application, set_up_logs
 
-from burdockrun_endpoint.command_line import make_parser, parse_count, start_logging
+from burdockrun_endpoint.command_line import make_parser, parse_count
 from burdockrun_endpoint.const import (
     DEFAULT_CONNECTIONS,
     DEFAULT_OPEN_MS,
@@ -43,7 +43,7 @@
 
 
 async def _async_run(arguments: argparse.Namespace) -> int:
-    application = Application(events=start_logging(arguments.log_format))
+    application = Application(events=set_up_logs(arguments.log_format))
     member = DatabaseMember(
         arguments.name,
         arguments.domain,
--- a/libs/endpoint/burdockrun_endpoint/platform_program.py
+++ b/libs/endpoint/burdockrun_endpoint/platform_program.py
@@ -6,11 +6,11 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from burdockrun_base import Application
+from burdockrun_base import Application, set_up_logs
 from burdockrun_messages import VmEntry, decode_union
 from result import Err, Ok, Result
 
-from burdockrun_endpoint.command_line import make_parser, start_logging
+from burdockrun_endpoint.command_line import make_parser
 from burdockrun_endpoint.const import (
     EVENT_LISTENING,
     EVENT_STOPPED,
@@ -44,7 +44,7 @@
 
 
 async def _async_run(arguments: argparse.Namespace, vms: tuple[VmEntry, ...]) -> int:
-    application = Application(events=start_logging(arguments.log_format))
+    application = Application(events=set_up_logs(arguments.log_format))
     server = PlatformServer(vms, application.clock, application.events)
     expiry = asyncio.create_task(server.async_expire())
     try:
--- a/libs/fleet/burdockrun_fleet/agent.py
+++ b/libs/fleet/burdockrun_fleet/agent.py
@@ -1,5 +1,6 @@
 """The part of a node that takes part in the fleet."""
 
+import json
 import random
 from collections.abc import Callable, Mapping, Sequence
 
@@ -22,6 +23,7 @@
     RosterPush,
     SnapshotPush,
     TermsPush,
+    TicketRecord,
     TicketsPush,
 )
 
@@ -30,6 +32,7 @@
 from burdockrun_fleet.campaign import Campaign
 from burdockrun_fleet.const import (
     AUDIT_FLUSH_MS,
+    MAX_AUDITED_TICKETS,
     MEMBER_IN,
     MEMBER_OUT,
     ROSTER_CHANGED,
@@ -104,6 +107,7 @@
         self._spreading = Spreading(
             self._membership, outbox, self._feed, self._records, self._rosters
         )
+        self._spreading.on_applied = self._audit_tickets
         self.options = options or SpreadOptions()
         self._campaign = Campaign(parts, self._membership)
         self._campaign.on_tickets = self._spreading.take_ticket_entries
@@ -279,6 +283,20 @@
         if self.on_configuration is not None:
             self.on_configuration(configuration, now_ms)
 
+    def _audit_tickets(self, tickets: Sequence[TicketRecord], now_ms: int) -> None:
+        """Record accepted tickets; only coordinators do, so that each domain has one entry."""
+        if not self._campaign.is_coordinator(self.node.domain, now_ms):
+            return
+        for ticket in tickets[-MAX_AUDITED_TICKETS:]:
+            text = json.loads(ticket.text)
+            self.audit(
+                "ticket",
+                now_ms,
+                ticket=ticket.number,
+                author=text.get("author", ""),
+                reason=text.get("reason", ""),
+            )
+
     def _records_learned(self, records: Sequence[GroupRecord], now_ms: int) -> None:
         if self.on_records is not None:
             self.on_records(records, now_ms)
--- a/libs/fleet/burdockrun_fleet/const.py
+++ b/libs/fleet/burdockrun_fleet/const.py
@@ -96,6 +96,7 @@
 ROSTER_PREFIX: Final = "rosters/"
 IN_FORCE_PREFIX: Final = "in_force/"
 COORDINATOR_PREFIX: Final = "coordinators/"
+MAX_AUDITED_TICKETS: Final = 20
 AUDIT_PREFIX: Final = "audit/"
 AUDIT_HEAD_PREFIX: Final = "audit_heads/"
 ENTRY_VM: Final = "entry"
--- a/libs/fleet/burdockrun_fleet/spreading.py
+++ b/libs/fleet/burdockrun_fleet/spreading.py
@@ -1,6 +1,6 @@
 """Spreading of news by pushes to random peers and by pulls after a comparison of digests."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from burdockrun_messages import (
     Digest,
@@ -41,6 +41,7 @@
         rosters: RosterTable,
     ) -> None:
         self.options = SpreadOptions()
+        self.on_applied: Callable[[Sequence[TicketRecord], int], None] | None = None
         self._membership = membership
         self._outbox = outbox
         self._feed = feed
@@ -70,6 +71,8 @@
     def take_tickets(self, tickets: Sequence[TicketRecord], peer: str, now_ms: int) -> None:
         """Apply tickets and push on those that came into force."""
         applied = self._feed.receive(tickets, now_ms)
+        if applied and self.on_applied is not None:
+            self.on_applied(applied, now_ms)
         if applied and len(applied) <= _PUSH_ON_LIMIT:
             self._push(TicketsPush(tickets=tuple(applied)), peer)
 
--- a/libs/load/burdockrun_load/program.py
+++ b/libs/load/burdockrun_load/program.py
@@ -4,15 +4,13 @@
 import asyncio
 import contextlib
 import json
-import logging as standard_logging
 import random
 import sys
 from collections.abc import Sequence
 from pathlib import Path
 
 import aiohttp
-from absl import flags, logging
-from burdockrun_base import EventLog
+from burdockrun_base import EventLog, set_up_logs
 from result import Err
 
 from burdockrun_load.arguments import build_parser
@@ -39,11 +37,6 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Run one load and return the exit status."""
     arguments = build_parser().parse_args(argv)
-    # Without this absl writes a warning of its own before the first line.
-    flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    logging.get_absl_handler().setFormatter(standard_logging.Formatter("%(message)s"))
     if not arguments.proxies and arguments.direct is None:
         print("--proxies or --direct is missing", file=sys.stderr)
         return EXIT_BAD_INPUT
@@ -51,7 +44,7 @@
     if isinstance(scenario, Err):
         print(scenario.err_value, file=sys.stderr)
         return EXIT_BAD_INPUT
-    events = EventLog(arguments.log_format)
+    events = set_up_logs(arguments.log_format, plain=True)
     try:
         return asyncio.run(_async_run(arguments, scenario.ok_value, events))
     except KeyboardInterrupt:
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -26,6 +26,7 @@
     ForwardAnswer,
     ForwardStatus,
     GroupRecord,
+    GroupState,
     Member,
     MemberStatus,
     NodeInfo,
@@ -62,6 +63,7 @@
 from burdockrun_proxy.status import NodeStatus, build_status
 
 ID_BITS: Final = 40
+PROMOTER_SEPARATOR: Final = "#"
 
 Handler = Callable[["ProxyNode", Any, int], None]
 _handlers: Registry[Handler] = Registry("event handler")
@@ -403,8 +405,18 @@
             supervisor.note_life(member, now_ms)
 
     def _publish_record(self, record: GroupRecord, now_ms: int) -> None:
-        if self._learn_record(record, now_ms):
-            self.fleet.share_record(record, now_ms)
+        if not self._learn_record(record, now_ms):
+            return
+        self.fleet.share_record(record, now_ms)
+        own = record.promoter.partition(PROMOTER_SEPARATOR)[0] == self.info.node
+        if own and record.active is not None and record.state is GroupState.ACTIVE:
+            self.fleet.audit(
+                "promotion",
+                now_ms,
+                database=record.database,
+                term=record.term,
+                primary=record.active.primary,
+            )
 
     def _learn_records(self, records: Sequence[GroupRecord], now_ms: int) -> None:
         for record in records:
--- a/libs/proxy/burdockrun_proxy/program.py
+++ b/libs/proxy/burdockrun_proxy/program.py
@@ -9,9 +9,8 @@
 from random import Random, SystemRandom
 
 import aiohttp
-from absl import logging
 from aiohttp import web
-from burdockrun_base import Application, EventLog, Metrics
+from burdockrun_base import Application, EventLog, Metrics, set_up_logs
 from burdockrun_fleet import TicketFormat
 from burdockrun_messages import DrainRequested, NodeInfo
 from burdockrun_platform import PlatformClient
@@ -44,11 +43,10 @@
     if isinstance(loaded, Err):
         print(loaded.err_value, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    logging.set_verbosity(logging.INFO)
-    logging.use_absl_handler()
     settings = loaded.ok_value
+    events = set_up_logs(arguments.log_format or settings.log_format)
     try:
-        return asyncio.run(async_serve(settings, arguments.log_format or settings.log_format))
+        return asyncio.run(async_serve(settings, events))
     except OSError as error:
         print(f"cannot listen on {settings.host}:{settings.port}: {error}", file=sys.stderr)
         return EXIT_FAILED
@@ -65,13 +63,9 @@
     return parser.parse_args(argv)
 
 
-async def async_serve(settings: ProxySettings, log_format: str) -> int:
+async def async_serve(settings: ProxySettings, events: EventLog) -> int:
     """Serve until SIGTERM, then drain and return the exit status."""
-    metrics = Metrics(
-        settings.statsd.host if settings.statsd else None,
-        settings.statsd.port if settings.statsd else 8125,
-    )
-    app = Application(metrics=metrics, events=EventLog(log_format))
+    app = Application(metrics=build_metrics(settings), events=events)
     session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
     app.on_unload(session.close)
     driver = build_driver(app, settings, session)
@@ -89,6 +83,12 @@
     return 0
 
 
+def build_metrics(settings: ProxySettings) -> Metrics:
+    """Return the metrics client, which does nothing while no server is set."""
+    statsd = settings.statsd
+    return Metrics(statsd.host, statsd.port, statsd.prefix) if statsd is not None else Metrics()
+
+
 def build_driver(
     app: Application, settings: ProxySettings, session: aiohttp.ClientSession
 ) -> NodeDriver:
@@ -104,7 +104,7 @@
         session_keys=settings.session_keys,
         ticket_format=build_ticket_format(),
         rng=Random(SystemRandom().getrandbits(64)),
-        account_limit=settings.max_in_flight_per_account,
+        account_limit=settings.max_in_flight,
         wall_offset_ms=app.clock.wall_ms() - app.clock.now_ms(),
     )
     platform = PlatformClient(f"http://{settings.platform.host}:{settings.platform.port}", session)
--- a/libs/settings/burdockrun_settings/models.py
+++ b/libs/settings/burdockrun_settings/models.py
@@ -9,7 +9,7 @@
 
 from burdockrun_settings.const import (
     DEFAULT_DRAIN_TIMEOUT_MS,
-    DEFAULT_MAX_IN_FLIGHT_PER_ACCOUNT,
+    DEFAULT_MAX_IN_FLIGHT,
     DEFAULT_STATSD_PORT,
     MAX_PORT,
     MIN_SESSION_KEY_LENGTH,
@@ -72,7 +72,7 @@
     statsd: StatsdSettings | None = None
     log_format: Literal["json", "text"] = "text"
     drain_timeout_ms: Amount = DEFAULT_DRAIN_TIMEOUT_MS
-    max_in_flight_per_account: Amount = DEFAULT_MAX_IN_FLIGHT_PER_ACCOUNT
+    max_in_flight: Amount = DEFAULT_MAX_IN_FLIGHT
 
     @property
     def info(self) -> NodeInfo:
