--- a/script/processes.py
+++ b/script/processes.py
@@ -17,6 +17,7 @@
 LISTEN_PORTS = range(12_000, 32_000)
 SESSION_KEY = "demo-key-not-for-production"
 READY_TIMEOUT_S = 20.0
+MEMBER_CONNECTIONS = 16
 
 _given_ports: set[int] = set()
 
@@ -120,7 +121,15 @@
             f"--vms={vms}",
         )
 
-    def start_member(self, name: str, domain: str, *, service_ms: float, slots: int = 2) -> None:
+    def start_member(
+        self,
+        name: str,
+        domain: str,
+        *,
+        service_ms: float,
+        slots: int = 2,
+        connections: int = MEMBER_CONNECTIONS,
+    ) -> None:
         """Start a stand-in of a database member."""
         port, control_port = find_free_ports(2)
         self.members[name] = {
@@ -139,6 +148,7 @@
             f"--control-port={control_port}",
             f"--slots={slots}",
             f"--service-ms={service_ms}",
+            f"--connections={connections}",
         )
 
     def start_proxies(self) -> None:
