Keep a standby at work while it becomes home, and count closing connections

Change: a standby goes on with its reserve until it may step up; closing connections count until the close is confirmed; such reads go back as not primary; a draining node begins no transaction.

--- a/libs/fleet/burdockrun_fleet/placement.py
+++ b/libs/fleet/burdockrun_fleet/placement.py
@@ -17,14 +17,14 @@
     def find_home(self, member: Member) -> NodeInfo | None:
         """Return the node to which requests for a member go.
 
-        That is the standby while the home is dead, or while this node is to be home but may not
-        open connections yet.
+        That is the standby while the home is dead, or while this node is to be home but holds no
+        role yet. A standby that waits to become home serves with its reserve.
         """
         home, standby = self._roles.homes.find(member)
         if home is None or standby is None:
             return home or standby
         if home.node == self._node.node:
-            return home if self._roles.held_role(member) is Role.HOME else standby
+            return home if self._roles.held_role(member) is not None else standby
         if not self._membership.is_alive(home.node) and self._membership.is_alive(standby.node):
             return standby
         return home
@@ -39,4 +39,6 @@
         if role is not Role.STANDBY:
             return role is Role.HOME
         home, _ = self._roles.homes.find(member)
-        return home is None or not self._membership.is_alive(home.node)
+        if home is None or home.node == self._node.node:
+            return True
+        return not self._membership.is_alive(home.node)
--- a/libs/fleet/burdockrun_fleet/roles.py
+++ b/libs/fleet/burdockrun_fleet/roles.py
@@ -32,6 +32,8 @@
     since: int = 0
     previous: int = 0
     predecessor: str = ""
+    # Role of home that a granted standby waits for, while it goes on with the reserve.
+    successor: "_Holding | None" = None
 
 
 class RoleKeeper:
@@ -98,6 +100,9 @@
         """Grant the roles that have become free."""
         for name in list(self._pending):
             holding = self._holdings.get(name)
+            if holding is not None and holding.successor is not None:
+                self._step_up(holding, now_ms)
+                continue
             if holding is None or holding.granted or holding.closing:
                 self._pending.discard(name)
                 continue
@@ -153,6 +158,10 @@
             role = self._find_role(holding.member, roster) if name in members else None
             if role is holding.role and not dropped:
                 continue
+            if self._can_step_up(holding, role) and not dropped:
+                holding.successor = self._build_holding(holding.member, Role.HOME, roster, before)
+                self._pending.add(name)
+                continue
             if holding.granted and holding.used:
                 holding.closing = True
                 continue
@@ -168,11 +177,31 @@
         role = self._find_role(member, roster)
         if role is None or member.name not in self._members.get(roster.domain, {}):
             return
+        self._holdings[member.name] = self._build_holding(member, role, roster, before)
+        self._pending.add(member.name)
+
+    def _build_holding(
+        self, member: Member, role: Role, roster: Roster, before: DomainHomes | None
+    ) -> _Holding:
         predecessor = before.top(member.name)[role] if before is not None else ""
-        self._holdings[member.name] = _Holding(
+        return _Holding(
             member, role, since=roster.since, previous=roster.previous, predecessor=predecessor
         )
-        self._pending.add(member.name)
+
+    def _can_step_up(self, holding: _Holding, role: Role | None) -> bool:
+        return role is Role.HOME and holding.role is Role.STANDBY and holding.granted
+
+    def _step_up(self, holding: _Holding, now_ms: int) -> None:
+        """Make a standby the home once the former home is gone for certain."""
+        successor = holding.successor
+        if successor is None or holding.closing or not self._is_free(successor, now_ms):
+            return
+        successor.granted = True
+        successor.used = holding.used
+        name = holding.member.name
+        self._holdings[name] = successor
+        self._pending.discard(name)
+        self._send_release(self._table.rosters[holding.member.domain], {name})
 
     def _find_role(self, member: Member, roster: Roster) -> Role | None:
         if roster.domain not in self._table.own:
@@ -207,7 +236,8 @@
         kept = tuple(
             name
             for name, holding in self._holdings.items()
-            if holding.member.domain == roster.domain and (holding.granted or holding.closing)
+            if holding.member.domain == roster.domain
+            and (holding.closing or (holding.granted and holding.since < roster.since))
         )
         release = RolesReleased(domain=roster.domain, epoch=roster.since, members=kept)
         members = self._members.get(roster.domain, {})
--- a/libs/proxy/burdockrun_proxy/endpoints.py
+++ b/libs/proxy/burdockrun_proxy/endpoints.py
@@ -62,8 +62,8 @@
             self._end(connection_id, str(error) or type(error).__name__)
             return
         if connection_id in self._closed_early:
-            self._closed_early.discard(connection_id)
             await socket.close()
+            self._end(connection_id, "closed")
             return
         await self._async_receive(connection_id, socket)
 
--- a/libs/proxy/burdockrun_proxy/home.py
+++ b/libs/proxy/burdockrun_proxy/home.py
@@ -129,6 +129,9 @@
             self._accept_in_transaction(request, now_ms)
             return
         if needs_current_data(request):
+            if not self._serves_writes():
+                self._reply_not_primary(request, now_ms)
+                return
             self._prove_primary(request)
         if request.max_lag_ms is None and self._wait_for_position(request, now_ms):
             return
@@ -154,6 +157,7 @@
 
     def connection_closed(self, connection_id: int, reason: str, now_ms: int) -> None:
         """Settle what was in flight on a lost connection."""
+        self.pool.end_closing(connection_id)
         connection = self.pool.forget(connection_id)
         if connection is None:
             return
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -39,6 +39,7 @@
     Service,
     Started,
     TimerFired,
+    TransactionStep,
     Verdict,
 )
 from burdockrun_routing import PositionTable
@@ -285,12 +286,15 @@
         home = self._homes.get(member)
         if home is None:
             return False
+        # A transaction that begins now could keep the process from ending.
+        if self._draining and request.request.step is TransactionStep.BEGIN:
+            return False
         home.accept(request, now_ms)
         return True
 
     def _find_owner(self, connection_id: int) -> MemberHome | None:
         for home in self._homes.values():
-            if home.pool.find(connection_id) is not None:
+            if home.pool.find(connection_id) is not None or home.pool.is_closing(connection_id):
                 return home
         return None
 
--- a/libs/proxy/burdockrun_proxy/pool.py
+++ b/libs/proxy/burdockrun_proxy/pool.py
@@ -18,11 +18,12 @@
         self._ids = ids
         self._connections: dict[int, Connection] = {}
         self._idle: list[int] = []
+        self._closing: set[int] = set()
         self._retry_at_ms = 0
         self._failures = 0
 
     def __len__(self) -> int:
-        return len(self._connections)
+        return len(self._connections) + len(self._closing)
 
     def __iter__(self) -> Iterator[Connection]:
         return iter(tuple(self._connections.values()))
@@ -50,7 +51,7 @@
         """Open or close connections towards the budget; busy ones close when they are done."""
         # One attempt at a time after a failure, so that an endpoint that is down sees few of them.
         wanted = min(budget, 1) if self._failures else budget
-        while len(self._connections) < wanted and now_ms >= self._retry_at_ms:
+        while len(self) < wanted and now_ms >= self._retry_at_ms:
             self._open()
         surplus = len(self._connections) - budget
         while surplus > 0 and self._idle:
@@ -90,9 +91,18 @@
         """Close a connection, whatever its state, and return it."""
         connection = self.forget(connection_id)
         if connection is not None:
+            self._closing.add(connection_id)
             self._outbox.add(CloseConnection(connection_id=connection_id))
         return connection
 
+    def is_closing(self, connection_id: int) -> bool:
+        """Return whether a connection is being closed and still counts at the member."""
+        return connection_id in self._closing
+
+    def end_closing(self, connection_id: int) -> None:
+        """Stop counting a connection whose close has been confirmed."""
+        self._closing.discard(connection_id)
+
     def forget(self, connection_id: int) -> Connection | None:
         """Remove a connection that is closed already and return it."""
         connection = self._connections.pop(connection_id, None)
--- a/tests/proxy/common.py
+++ b/tests/proxy/common.py
@@ -12,6 +12,7 @@
 from burdockrun_proxy import DEFAULT_POLICIES, Policies, ProxyNode
 
 WARM_UP_MS = 25_000
+SERVICE = plan_bayern(1).services[0]
 DATABASE = "wendedb-0"
 
 
--- /dev/null
+++ b/tests/proxy/test_home.py
@@ -0,0 +1,112 @@
+"""Behaviour of the home of one member."""
+
+from itertools import count
+
+from burdockrun_failover import Acknowledger
+from burdockrun_messages import (
+    Access,
+    ActiveTerm,
+    CloseConnection,
+    ForwardStatus,
+    GroupRecord,
+    GroupState,
+    OpenConnection,
+    Outbox,
+    SendExecute,
+    StatementRequest,
+)
+from burdockrun_proxy.freshness import FreshnessCheck
+from burdockrun_proxy.home import MemberHome
+from burdockrun_proxy.models import HomeReply, HomeRequest
+from burdockrun_proxy.policies import build_rank_scheduler
+from burdockrun_proxy.pool import ConnectionPool
+from burdockrun_proxy.settlement import Settlement
+from burdockrun_routing import PositionTable
+
+from tests.proxy.common import SERVICE
+
+DATABASE = SERVICE.databases[0]
+MEMBER = DATABASE.members[0]
+
+
+def make_home(outbox: Outbox, primary: str) -> MemberHome:
+    """Return a home with one open connection that knows `primary` in term 3."""
+    ids = count(1)
+    acknowledger = Acknowledger(outbox)
+    home = MemberHome(
+        service=SERVICE,
+        database=DATABASE,
+        member=MEMBER,
+        node="vm1",
+        outbox=outbox,
+        ids=ids,
+        positions=PositionTable(),
+        acknowledger=acknowledger,
+        settlement=Settlement(outbox, acknowledger, lambda _: None),
+        freshness=FreshnessCheck(outbox),
+        scheduler=build_rank_scheduler(SERVICE, DATABASE),
+        on_life=lambda member, now_ms: None,
+    )
+    active = ActiveTerm(term=3, primary=primary, members=tuple(m.name for m in DATABASE.members))
+    record = GroupRecord(database=DATABASE.name, term=3, state=GroupState.ACTIVE, active=active)
+    home.learn_record(record, 0)
+    home.set_budget(1, 0)
+    for action in outbox.drain():
+        if isinstance(action, OpenConnection):
+            home.connection_opened(action.connection_id, 12)
+    return home
+
+
+def ask(home: MemberHome, access: Access) -> list[HomeReply]:
+    """Give the home a request without token and return the list that its reply goes to."""
+    replies: list[HomeReply] = []
+    request = StatementRequest(
+        request_id="r1",
+        account=SERVICE.account,
+        database=DATABASE.name,
+        statement="GET key",
+        access=access,
+    )
+    home.accept(
+        HomeRequest(
+            request=request,
+            rank=SERVICE.ranks[0].name,
+            deadline_ms=1_000,
+            required=None,
+            max_lag_ms=None,
+            on_reply=lambda reply, now_ms: replies.append(reply),
+        ),
+        20,
+    )
+    return replies
+
+
+def test_current_read_is_not_run_at_a_member_that_is_no_longer_primary() -> None:
+    """Guards against an unproven read when entry and home know different primaries."""
+    outbox = Outbox()
+    home = make_home(outbox, DATABASE.members[1].name)
+    assert [reply.status for reply in ask(home, Access.READ)] == [ForwardStatus.NOT_PRIMARY]
+    assert not any(isinstance(action, SendExecute) for action in outbox.drain())
+
+
+def test_current_read_waits_for_the_proof_of_the_primary() -> None:
+    """Guards against an answer of a primary that may have been superseded."""
+    outbox = Outbox()
+    home = make_home(outbox, MEMBER.name)
+    assert ask(home, Access.READ) == []
+    assert any(isinstance(action, SendExecute) for action in outbox.drain())
+
+
+def test_closing_connection_counts_until_its_close_is_confirmed() -> None:
+    """Guards against a connection limit exceeded by replacements of slowly closing ones."""
+    outbox = Outbox()
+    pool = ConnectionPool(MEMBER, outbox, count(1))
+    pool.resize(2, 0)
+    opened = [action for action in outbox.drain() if isinstance(action, OpenConnection)]
+    assert len(opened) == 2
+    pool.close(opened[0].connection_id)
+    pool.resize(2, 10)
+    assert [type(action) for action in outbox.drain()] == [CloseConnection]
+    pool.end_closing(opened[0].connection_id)
+    pool.resize(2, 20)
+    assert [type(action) for action in outbox.drain()] == [OpenConnection]
