Test that a term with other members starts only with the whole log

Change: a test that cuts the new majority off after the claim; the random faults restart processes and move roles too.

--- a/tests/failover/common.py
+++ b/tests/failover/common.py
@@ -1,5 +1,6 @@
 """Virtual-time world of nodes, members, links and store that the failover tests share."""
 
+import dataclasses
 import heapq
 import random
 from collections.abc import Callable, Sequence
@@ -276,12 +277,17 @@
     def __init__(self, world: "World", info: NodeInfo) -> None:
         self.world = world
         self.info = info
+        self.events: list[str] = []
+        self.start()
+
+    def start(self) -> None:
+        """Begin a new life that knows nothing of an earlier one."""
+        world, info = self.world, self.info
         self.alive = True
         self.paused_since_ms: int | None = None
         self.held: list[Callable[[], None]] = []
         self.outbox = Outbox()
         self.acknowledger = Acknowledger(self.outbox)
-        self.events: list[str] = []
         self.supervisor = GroupSupervisor(world.database, info, self, self.outbox, world.fork_rng())
         self.supervisor.on_record = self.spread
 
@@ -391,6 +397,14 @@
         domain = self.domains[number % len(self.domains)]
         return Member(name=f"m{number}", domain=domain, host="h", port=1, control_port=2)
 
+    def set_members(self, *names: str) -> Database:
+        """Bring a ticket with other members into force at all nodes."""
+        listed = tuple(self.members[name].member for name in names)
+        self.database = dataclasses.replace(self.database, members=listed)
+        for node in self.nodes:
+            node.supervisor.set_database(self.database)
+        return self.database
+
     def fork_rng(self) -> random.Random:
         """Return a random source of its own for one part."""
         return random.Random(self.rng.getrandbits(64))
@@ -443,11 +457,12 @@
             node.events.append(action.event.name)
 
     def _call_control(self, node: FakeNode, call: CallControl) -> None:
-        member = self.members[call.member.name]
+        member, outbox = self.members[call.member.name], node.outbox
 
         def finish(reply: MemberStatus | None) -> None:
             event = ControlAnswered(call_id=call.call_id, reply=reply)
-            node.run(lambda: node.outbox.finish_control(event, self.now_ms))
+            if node.outbox is outbox:
+                node.run(lambda: outbox.finish_control(event, self.now_ms))
 
         def answer(status: MemberStatus) -> None:
             self.send(member.place, node.place, lambda: finish(status))
@@ -460,11 +475,12 @@
         self.after(call.timeout_ms, lambda: finish(None))
 
     def _call_platform(self, node: FakeNode, call: CallPlatform) -> None:
-        place = ("platform", "platform")
+        place, outbox = ("platform", "platform"), node.outbox
 
         def finish(reply: Any) -> None:
             event = PlatformAnswered(call_id=call.call_id, reply=reply)
-            node.run(lambda: node.outbox.finish_platform(event, self.now_ms))
+            if node.outbox is outbox:
+                node.run(lambda: outbox.finish_platform(event, self.now_ms))
 
         def arrive() -> None:
             reply = self.store.apply(call.operation, self.rng)
@@ -481,7 +497,7 @@
 
     def _write(self, node: FakeNode) -> None:
         active = self.active_at(node)
-        if active is None:
+        if active is None or not node.alive:
             return
         self._written += 1
         text = f"w{self._written}"
--- a/tests/failover/test_faults.py
+++ b/tests/failover/test_faults.py
@@ -1,6 +1,5 @@
 """Randomised faults in the virtual-time world; every seed gives the same run each time."""
 
-import dataclasses
 import itertools
 
 import pytest
@@ -22,6 +21,8 @@
             self.cut_domain,
             self.cut_member,
             self.pause_node,
+            self.restart_node,
+            self.move_role,
             self.stop_store,
             self.lose_answers,
             self.lose_messages,
@@ -69,10 +70,22 @@
     def pause_node(self) -> None:
         """Stop a process for a while."""
         node = self.rng.choice(self.world.nodes)
-        if node.paused_since_ms is None:
+        if node.paused_since_ms is None and node.alive:
             node.paused_since_ms = self.world.now_ms
             self.heal_later(node.resume)
 
+    def restart_node(self) -> None:
+        """End a process; a new one with the same name starts without its memory."""
+        node = self.rng.choice(self.world.nodes)
+        if node.alive:
+            node.alive = False
+            self.heal_later(node.start)
+
+    def move_role(self) -> None:
+        """Make another node the home of a member."""
+        name = self.rng.choice(list(self.world.members))
+        self.world.homes[name] = self.rng.choice(self.world.nodes)
+
     def stop_store(self) -> None:
         """Stop the platform's store."""
         self.world.store.down = True
@@ -114,10 +127,7 @@
             names.remove(self.rng.choice(names))
         if spare and len(names) < 4:
             names.append(self.rng.choice(spare))
-        listed = tuple(self.world.members[name].member for name in names)
-        self.world.database = dataclasses.replace(self.world.database, members=listed)
-        for node in self.world.nodes:
-            node.supervisor.set_database(self.world.database)
+        self.world.set_members(*names)
 
     def stop_shipping(self) -> None:
         """Let fenced members stop sending entries, so that planned changes are given up."""
--- a/tests/failover/test_supervisor.py
+++ b/tests/failover/test_supervisor.py
@@ -1,7 +1,5 @@
 """Tests of the supervisor in a virtual-time world."""
 
-import dataclasses
-
 import pytest
 
 from tests.failover.common import FakeNode, World
@@ -216,10 +214,7 @@
 def test_leaving_primary_and_replaced_members_change_in_terms() -> None:
     """Guards against a ticket that leaves a member without its place or loses writes."""
     world = start(13, spare=1)
-    keep = [dataclasses.replace(world.members[name].member) for name in ("m1", "m2", "m3")]
-    database = dataclasses.replace(world.database, members=tuple(keep))
-    for node in world.nodes:
-        node.supervisor.set_database(database)
+    world.set_members("m1", "m2", "m3")
     world.run_for(20_000)
     assert set(world.active.members) == {"m1", "m2", "m3"}
     copy, log = world.members["m3"].log, world.members[world.active.primary].log
@@ -260,3 +255,20 @@
     world.run_for(3_000)
     assert world.active.primary not in (old.member.name, None)
     assert world.list_missing() == []
+
+
+def test_new_members_take_over_only_with_the_whole_log() -> None:
+    """Guards against a term whose majority lacks writes that the old members acknowledged."""
+    world = start(18, spare=1)
+    old = world.active
+    database = world.set_members("m0", "m1", "m3")
+    while world.store.history[-1].state == "active":
+        world.run_for(1)
+    world.links.cuts = {frozenset((old.primary, other)) for other in ("m1", "m3")}
+    world.run_for(1_000)
+    assert (world.active.primary, world.active.members) == (old.primary, old.members)
+    assert world.acknowledged[-1].at_ms > world.now_ms - 100
+    world.links.cuts = set()
+    world.run_for(15_000)
+    assert set(world.active.members) == {member.name for member in database.members}
+    assert world.list_missing() == []
