Check that a pause clears suspicion in the test of paused homes

Cause: the test passed without the clearing of evidence, as other guards also stop the promotion. Change: it asserts that no home suspects or promotes after the pause, with and without a pending claim.

--- a/tests/failover/test_supervisor.py
+++ b/tests/failover/test_supervisor.py
@@ -150,22 +150,27 @@
     assert promoter.supervisor.record == world.store.history[-1]
 
 
-def test_paused_home_ignores_evidence_from_before_the_pause() -> None:
+@pytest.mark.parametrize("dead_ms", [590, 1_500])
+def test_paused_home_ignores_evidence_from_before_the_pause(dead_ms: int) -> None:
     """Guards against a promotion on silence and verdicts that a pause has made stale."""
     world = start(10)
     primary = world.members[world.active.primary]
     primary.alive = False
-    world.run_for(590)
+    world.store.down = True
+    world.run_for(dead_ms)
     for node in world.nodes:
         node.paused_since_ms = world.now_ms
     world.run_for(3_000)
     primary.alive = True
-    primary.pull()
+    world.store.down = False
     world.run_for(300)
     for node in world.nodes:
+        node.events.clear()
         node.resume()
     world.run_for(3_000)
     assert world.active.term == 1
+    seen = {event for node in world.nodes for event in node.events}
+    assert not seen & {"primary_suspected", "suspicion_cleared", "promotion_started"}
 
 
 def test_planned_change_moves_the_primary_with_a_short_gap() -> None:
