--- a/libs/load/burdockrun_load/program.py
+++ b/libs/load/burdockrun_load/program.py
@@ -4,15 +4,13 @@
 import asyncio
 import contextlib
 import json
-import logging as standard_logging
 import random
 import sys
 from collections.abc import Sequence
 from pathlib import Path
 
 import aiohttp
-from absl import flags, logging
-from burdockrun_base import EventLog
+from burdockrun_base import EventLog, set_up_logs
 from result import Err
 
 from burdockrun_load.arguments import build_parser
@@ -39,11 +37,6 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Run one load and return the exit status."""
     arguments = build_parser().parse_args(argv)
-    # Without this absl writes a warning of its own before the first line.
-    flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    logging.get_absl_handler().setFormatter(standard_logging.Formatter("%(message)s"))
     if not arguments.proxies and arguments.direct is None:
         print("--proxies or --direct is missing", file=sys.stderr)
         return EXIT_BAD_INPUT
@@ -51,7 +44,7 @@
     if isinstance(scenario, Err):
         print(scenario.err_value, file=sys.stderr)
         return EXIT_BAD_INPUT
-    events = EventLog(arguments.log_format)
+    events = set_up_logs(arguments.log_format, plain=True)
     try:
         return asyncio.run(_async_run(arguments, scenario.ok_value, events))
     except KeyboardInterrupt:
@@ -65,15 +58,19 @@
     runs: dict[str, Recorder] = {}
     async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
         program = _LoadProgram(arguments, scenario, session, events)
-        for name, target in program.list_targets():
+        targets = program.list_targets()
+        for name, target in targets:
             recorder = await program.async_drive(name, target)
-            if recorder is None:
-                return EXIT_UNREACHABLE
-            runs[name] = recorder
+            if recorder is not None:
+                runs[name] = recorder
+    if not runs:
+        return EXIT_UNREACHABLE
     mode = f"closed {arguments.closed}" if arguments.closed else "open"
     report = write_report(Path(arguments.report), scenario, mode, runs)
     print(json.dumps(report))
-    return EXIT_VIOLATION if report["violations"] else EXIT_DONE
+    if any(recorder.violations for recorder in runs.values()):
+        return EXIT_VIOLATION
+    return EXIT_DONE if len(runs) == len(targets) else EXIT_UNREACHABLE
 
 
 class _LoadProgram:
--- a/libs/proxy/burdockrun_proxy/entry.py
+++ b/libs/proxy/burdockrun_proxy/entry.py
@@ -33,6 +33,7 @@
 
 from burdockrun_proxy.const import (
     HELD_RECHECK_MS,
+    LOST_NODE_AVOIDED_MS,
     MAX_ATTEMPTS,
     REROUTE_DELAY_MS,
 )
@@ -106,6 +107,7 @@
         self._learn_record = learn_record
         self._retries = RetryBudget()
         self._pending: dict[int, Pending] = {}
+        self._lost_until_ms: dict[str, int] = {}
         self._deadlines: list[tuple[int, int]] = []
         self._reroutes: list[tuple[int, int]] = []
         self.configuration = Configuration()
@@ -151,7 +153,8 @@
         self._take_reply(pending, attempt, reply, now_ms)
 
     def peer_lost(self, node: str, now_ms: int) -> None:
-        """Route requests again that wait for a node that was lost."""
+        """Route requests again that wait for a node that was lost, and avoid it for a while."""
+        self._lost_until_ms[node] = now_ms + LOST_NODE_AVOIDED_MS
         for pending in tuple(self._pending.values()):
             if pending.node != node:
                 continue
@@ -273,9 +276,8 @@
         if member is None:
             self._hold(pending, HELD_RECHECK_MS, now_ms)
             return
-        node = self._choose_node(pending, member)
+        node = self._choose_node(pending, member, now_ms)
         if node is None:
-            pending.avoid.clear()
             self._hold(pending, HELD_RECHECK_MS, now_ms)
             return
         self._forward(pending, Route(member=member, node=node), now_ms)
@@ -294,9 +296,11 @@
         )
         return self._policies.read(situation, now_ms, self._rng)
 
-    def _choose_node(self, pending: Pending, member: Member) -> NodeInfo | None:
+    def _choose_node(self, pending: Pending, member: Member, now_ms: int) -> NodeInfo | None:
         for node in (self._placement.find_home(member), self._placement.find_standby(member)):
-            if node is not None and node.node not in pending.avoid:
+            if node is None or node.node in pending.avoid:
+                continue
+            if self._lost_until_ms.get(node.node, 0) <= now_ms:
                 return node
         return None
 
@@ -364,10 +368,16 @@
         if reply.status is ForwardStatus.ANSWERED and reply.answer is not None:
             self._finish(pending, reply.answer, now_ms)
             return
-        if reply.status is ForwardStatus.BEHIND:
+        if reply.status is ForwardStatus.BEHIND and member not in pending.avoid:
             pending.avoid.add(member)
             self._route(pending, now_ms)
             return
+        if reply.status is ForwardStatus.UNREACHABLE:
+            self._positions.note_failure(pending.request.database, member, now_ms)
+            if not is_write(pending.request) and member not in pending.avoid:
+                pending.avoid.add(member)
+                self._route(pending, now_ms)
+                return
         delay_ms = REROUTE_DELAY_MS if attempt < 5 else HELD_RECHECK_MS
         self._hold(pending, delay_ms, now_ms)
 
@@ -382,6 +392,7 @@
     def _hold(self, pending: Pending, delay_ms: int, now_ms: int) -> None:
         pending.held = True
         pending.waited_out_gap = True
+        pending.avoid.clear()
         pending.node = None
         heapq.heappush(self._reroutes, (now_ms + delay_ms, pending.pending_id))
         self._outbox.wake_at(now_ms + delay_ms)
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -26,6 +26,7 @@
     ForwardAnswer,
     ForwardStatus,
     GroupRecord,
+    GroupState,
     Member,
     MemberStatus,
     NodeInfo,
@@ -45,10 +46,13 @@
 
 from burdockrun_proxy.const import (
     CONFIGURATION_IN_FORCE,
+    HAND_OVER_LIMIT_MS,
     MAX_ACCOUNT_IN_FLIGHT,
     PROCESS_PAUSED,
     PROXY_DRAINING,
     TERM_LEARNED,
+    TRAVEL_BETWEEN_DOMAINS_MS,
+    TRAVEL_WITHIN_DOMAIN_MS,
 )
 from burdockrun_proxy.entry import EntryDesk
 from burdockrun_proxy.freshness import FreshnessCheck
@@ -59,6 +63,7 @@
 from burdockrun_proxy.status import NodeStatus, build_status
 
 ID_BITS: Final = 40
+PROMOTER_SEPARATOR: Final = "#"
 
 Handler = Callable[["ProxyNode", Any, int], None]
 _handlers: Registry[Handler] = Registry("event handler")
@@ -98,6 +103,7 @@
         self._forwarded = 0
         self._draining = False
         self._drain_reported = False
+        self._hand_over_until_ms = 0
         self._configuration = Configuration()
         self._members: dict[str, tuple[Service, Database, Member]] = {}
         self.fleet = FleetAgent(
@@ -145,6 +151,7 @@
             homes=self._homes,
             positions=self._positions,
             nodes=self.fleet.list_nodes(),
+            rosters=self.fleet.rosters,
             draining=self._draining,
             in_flight=self._entry.in_flight,
         )
@@ -218,8 +225,8 @@
         self._settlement.tick(now_ms)
         self._acknowledger.tick(now_ms)
         self._entry.tick(now_ms)
-        self._replace_leaving_primaries(now_ms)
-        self._report_drained()
+        self._replace_unusable_primaries(now_ms)
+        self._report_drained(now_ms)
 
     @_handlers.register("ProcessPaused")
     def _process_paused(self, event: ProcessPaused, now_ms: int) -> None:
@@ -233,6 +240,7 @@
         if self._draining:
             return
         self._draining = True
+        self._hand_over_until_ms = now_ms + HAND_OVER_LIMIT_MS
         self._entry.draining = True
         self._outbox.log(PROXY_DRAINING, in_flight=self._entry.in_flight)
         self.fleet.drain(now_ms)
@@ -246,11 +254,18 @@
             required=message.required,
             max_lag_ms=message.max_lag_ms,
             waited_out_gap=message.waited_out_gap,
+            travel_ms=self._find_travel_ms(message.sender),
             on_reply=partial(self._send_forward_answer, message),
         )
         if not self._accept(message.member, request, now_ms):
             self._send_forward_answer(message, HomeReply(status=ForwardStatus.NOT_HOME), now_ms)
 
+    def _find_travel_ms(self, sender: NodeInfo) -> int:
+        """Return the time in ms that a request from `sender` spends on links."""
+        if sender.domain == self.info.domain:
+            return TRAVEL_WITHIN_DOMAIN_MS
+        return TRAVEL_BETWEEN_DOMAINS_MS
+
     def _send_forward_answer(self, message: Forward, reply: HomeReply, now_ms: int) -> None:
         self._forwarded -= 1
         self._outbox.send_peer(
@@ -366,12 +381,7 @@
             found = self._configuration.find_database(name)
             if found is None:
                 continue
-            supervisor = GroupSupervisor(found[1], self.info, self.fleet, self._outbox, self._rng)
-            supervisor.on_record = self._publish_record
-            self._supervisors[name] = supervisor
-            record = self._records.get(name)
-            if record is not None:
-                supervisor.learn_record(record, 0)
+            self._supervisors[name] = self._build_supervisor(found[1], now_ms)
         for name in self._supervisors.keys() - wanted:
             del self._supervisors[name]
 
@@ -395,8 +405,18 @@
             supervisor.note_life(member, now_ms)
 
     def _publish_record(self, record: GroupRecord, now_ms: int) -> None:
-        if self._learn_record(record, now_ms):
-            self.fleet.share_record(record, now_ms)
+        if not self._learn_record(record, now_ms):
+            return
+        self.fleet.share_record(record, now_ms)
+        own = record.promoter.partition(PROMOTER_SEPARATOR)[0] == self.info.node
+        if own and record.active is not None and record.state is GroupState.ACTIVE:
+            self.fleet.audit(
+                "promotion",
+                now_ms,
+                database=record.database,
+                term=record.term,
+                primary=record.active.primary,
+            )
 
     def _learn_records(self, records: Sequence[GroupRecord], now_ms: int) -> None:
         for record in records:
@@ -428,15 +448,30 @@
         member = found[1].find_member(record.active.primary)
         return (record, member) if member is not None else None
 
-    def _replace_leaving_primaries(self, now_ms: int) -> None:
+    def _replace_unusable_primaries(self, now_ms: int) -> None:
+        """Ask for another primary where the present one leaves or no live node serves it."""
         for name, supervisor in self._supervisors.items():
             found = self._find_primary(name)
-            if found is not None and self.fleet.is_leaving(found[1]):
+            if found is None:
+                continue
+            if self.fleet.is_leaving(found[1]):
                 supervisor.request_change("primary is leaving", now_ms)
+            elif self.fleet.is_unserved(found[1]):
+                supervisor.request_change("no live home of the primary", now_ms)
+
+    def _can_hand_over(self) -> bool:
+        """Return whether this node has roles that another live node of its domain can take."""
+        others = (node for node in self.fleet.list_nodes() if node.node != self.info.node)
+        return bool(self._placement.list_role_members()) and any(
+            node.domain == self.info.domain for node in others
+        )
 
-    def _report_drained(self) -> None:
+    def _report_drained(self, now_ms: int) -> None:
+        """Say that the process may exit once others serve its members and nothing is in flight."""
         if not self._draining or self._drain_reported:
             return
+        if self._can_hand_over() and now_ms < self._hand_over_until_ms:
+            return
         busy = self._entry.in_flight or self._forwarded
         if busy or any(home.in_flight for home in self._homes.values()):
             return
--- a/script/processes.py
+++ b/script/processes.py
@@ -11,21 +11,37 @@
 import urllib.request
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import SystemRandom
 
 HOST = "127.0.0.1"
+LISTEN_PORTS = range(12_000, 32_000)
 SESSION_KEY = "demo-key-not-for-production"
 READY_TIMEOUT_S = 20.0
+MEMBER_CONNECTIONS = 16
+
+_given_ports: set[int] = set()
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((HOST, 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    """Return ports that were free a moment ago.
+
+    They lie below the range from which the kernel takes the ports of outgoing connections, so
+    that none is lost before its program listens.
+    """
+    ports: list[int] = []
+    for port in SystemRandom().sample(LISTEN_PORTS, len(LISTEN_PORTS)):
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        ports.append(port)
+        _given_ports.add(port)
+        if len(ports) == count:
+            return ports
+    raise OSError(f"fewer than {count} free ports")
 
 
 @dataclass(kw_only=True)
@@ -105,7 +121,15 @@
             f"--vms={vms}",
         )
 
-    def start_member(self, name: str, domain: str, *, service_ms: float, slots: int = 2) -> None:
+    def start_member(
+        self,
+        name: str,
+        domain: str,
+        *,
+        service_ms: float,
+        slots: int = 2,
+        connections: int = MEMBER_CONNECTIONS,
+    ) -> None:
         """Start a stand-in of a database member."""
         port, control_port = find_free_ports(2)
         self.members[name] = {
@@ -124,6 +148,7 @@
             f"--control-port={control_port}",
             f"--slots={slots}",
             f"--service-ms={service_ms}",
+            f"--connections={connections}",
         )
 
     def start_proxies(self) -> None:
--- a/tests/failover/common.py
+++ b/tests/failover/common.py
@@ -104,6 +104,7 @@
         self.stuck = False
         self.ships_when_fenced = True
         self.pull_ms = 0
+        self.pull_limit = 10_000
         self.term = 0
         self.role = MemberRole.REPLICA
         self.log: list[tuple[int, str]] = []
@@ -188,6 +189,21 @@
         self.completed += 1
         return len(self.log)
 
+    def restart(self) -> None:
+        """Come back after a crash with log and term, but without the role of a primary."""
+        self.alive = True
+        if self.role is MemberRole.PRIMARY:
+            self.role = MemberRole.FENCED
+        self.pull()
+
+    def hurry(self) -> None:
+        """Receive entries at full speed again."""
+        self.pull_ms, self.pull_limit = 0, 10_000
+
+    def unblock(self) -> None:
+        """Finish statements again."""
+        self.stuck, self.pending = False, 0
+
     def answer_waiting(self) -> None:
         """Answer the waits that are confirmed, ended or expired."""
         waiting, self.waiting = self.waiting, []
@@ -209,15 +225,23 @@
         term, position = self.term, self.position
 
         def arrive() -> None:
-            primary.serve_pull(self, term, position, number, self.world.now_ms + 20)
+            primary.serve_pull(self, term, position, number, self.world.now_ms + 100)
 
         self.world.send(self.place, primary.place, arrive)
-        self.world.after(100, lambda: self.pull() if self.pulls == number else None)
+        self.world.after(1_000, lambda: self.pull() if self.pulls == number else None)
+
+    def find_common(self, replica: "FakeMember") -> int:
+        """Return the length of the common prefix; a replica drops only what follows it."""
+        pairs = zip(self.log, replica.log, strict=False)
+        return next(
+            (index for index, (mine, other) in enumerate(pairs) if mine != other),
+            min(len(self.log), len(replica.log)),
+        )
 
     def serve_pull(
         self, replica: "FakeMember", term: int, at: LogPosition, number: int, until_ms: int
     ) -> None:
-        """Answer a pull once there are entries, at the latest after 20 ms."""
+        """Answer a pull once there are entries, at the latest after 100 ms."""
         ships = self.term == term or self.ships_when_fenced
         if not self.alive or self.serves_term != term or not ships:
             return
@@ -228,17 +252,18 @@
             name = replica.member.name
             self.matched[name] = max(self.matched.get(name, 0), at.index)
             self.answer_waiting()
-        start = at.index if common else 0
+        start = at.index if common else self.find_common(replica)
         if start == len(self.log) and self.world.now_ms < until_ms:
             self.world.after(2, lambda: self.serve_pull(replica, term, at, number, until_ms))
             return
-        entries = self.log[start:]
+        entries = self.log[start : start + replica.pull_limit]
 
         def arrive() -> None:
             if replica.term != term or replica.role is not MemberRole.REPLICA:
                 return
             replica.heard_ms = self.world.now_ms
             if replica.pulls == number:
+                replica.pulls += 1
                 replica.log[start:] = entries
                 self.world.after(replica.pull_ms, replica.pull)
 
@@ -279,6 +304,7 @@
 
     def spread(self, record: GroupRecord, now_ms: int) -> None:
         """Send a record to all other nodes."""
+        self.acknowledger.learn_record(record, now_ms)
         for node in self.world.nodes:
             if node is not self:
                 self.outbox.send_peer(node.info, TermsPush(records=(record,)))
@@ -333,6 +359,7 @@
     seed: int
     domains: tuple[str, ...] = BAYERN
     size: int = 3
+    spare: int = 0
     now_ms: int = 0
     acknowledged: list[Acknowledged] = field(default_factory=list)
     primaries: dict[int, str] = field(default_factory=dict)
@@ -343,8 +370,10 @@
         self._number = 0
         self.links = Links(self.fork_rng(), ONE_WAY_MS.get(self.domains, 5))
         self.store = FakeStore()
-        listed = tuple(self.make_member(number) for number in range(self.size))
-        self.database = Database(name=DATABASE, members=listed, connections=16, slots=2)
+        listed = tuple(self.make_member(number) for number in range(self.size + self.spare))
+        self.database = Database(
+            name=DATABASE, members=listed[: self.size], connections=16, slots=2
+        )
         self.members = {member.name: FakeMember(self, member) for member in listed}
         self.nodes: list[FakeNode] = []
         self.homes: dict[str, FakeNode] = {}
@@ -462,11 +491,9 @@
             if confirmed:
                 done = Acknowledged(text=text, term=active.term, at_ms=now_ms)
                 self.acknowledged.append(done)
+                self.check_kept(done)
 
         def confirm(index: int) -> None:
-            if active.ack_rule == "primary":
-                acknowledge(True, self.now_ms)
-                return
             deadline_ms = self.now_ms + 2_000
             node.acknowledger.wait(member.member, active.term, index, deadline_ms, acknowledge)
 
@@ -489,6 +516,12 @@
         assert active is not None
         return active
 
+    def check_kept(self, done: Acknowledged) -> None:
+        """Check that an acknowledged write is in the log of the active primary."""
+        log = self.members[self.active.primary].log
+        entries = reversed(log) if self.active.term == done.term else log
+        assert any(text == done.text for _, text in entries), f"{done} is not in {self.active}"
+
     def list_missing(self) -> list[str]:
         """Return the acknowledged writes that the log of the present primary lacks."""
         log = {text for _, text in self.members[self.active.primary].log}
