Record unusable tickets without ending the coordinator

Cause: The audit of applied tickets parsed their text with json.loads, so a value in the store that is no JSON ended every coordinator that applied it; and accepted tickets were recorded twice. Change: Read author and reason with empty defaults; keep one record per ticket and domain, of kind `ticket`.

--- a/libs/fleet/burdockrun_fleet/agent.py
+++ b/libs/fleet/burdockrun_fleet/agent.py
@@ -1,6 +1,5 @@
 """The part of a node that takes part in the fleet."""
 
-import json
 import random
 from collections.abc import Callable, Mapping, Sequence
 
@@ -47,6 +46,7 @@
 from burdockrun_fleet.roles import RoleKeeper
 from burdockrun_fleet.rosters import RosterTable
 from burdockrun_fleet.spreading import Spreading
+from burdockrun_fleet.submission import read_author
 from burdockrun_fleet.tickets import TicketFeed
 from burdockrun_fleet.vms import VmView
 from burdockrun_fleet.witnesses import WitnessRounds
@@ -298,14 +298,8 @@
         if not self._campaign.is_coordinator(self.node.domain, now_ms):
             return
         for ticket in tickets[-MAX_AUDITED_TICKETS:]:
-            text = json.loads(ticket.text)
-            self.audit(
-                "ticket",
-                now_ms,
-                ticket=ticket.number,
-                author=text.get("author", ""),
-                reason=text.get("reason", ""),
-            )
+            author, reason = read_author(ticket.text)
+            self.audit("ticket", now_ms, ticket=ticket.number, author=author, reason=reason)
 
     def _records_learned(self, records: Sequence[GroupRecord], now_ms: int) -> None:
         if self.on_records is not None:
--- a/libs/fleet/burdockrun_fleet/coordinator.py
+++ b/libs/fleet/burdockrun_fleet/coordinator.py
@@ -18,13 +18,12 @@
 from burdockrun_fleet.const import GROUP_PREFIX, TICKET_PREFIX, VM_LIST_MS, VM_LIST_MS_PER_VM
 from burdockrun_fleet.evidence import Evidence
 from burdockrun_fleet.lease import CoordinatorLease
-from burdockrun_fleet.loader import PrefixFollower, SnapshotReader, read_ticket, ticket_key
+from burdockrun_fleet.loader import PrefixFollower, SnapshotReader, ticket_key
 from burdockrun_fleet.records import RecordTable
 from burdockrun_fleet.reports import AuditWriter, InForceWriter
 from burdockrun_fleet.roster_writer import RosterReader, RosterWriter
 from burdockrun_fleet.rosters import RosterTable
 from burdockrun_fleet.snapshots import SnapshotWriter
-from burdockrun_fleet.submission import read_identity
 from burdockrun_fleet.tickets import TicketFeed
 from burdockrun_fleet.vms import VmView
 
@@ -97,7 +96,6 @@
         self._snapshots = SnapshotWriter(parts.feed, port, Backoff(rng), holds)
         self._in_force = InForceWriter(domain, port, Backoff(rng), holds)
         self._audit = AuditWriter(domain, parts.trail, port, Backoff(rng), holds)
-        self._is_following = False
         self._announced = -1
         self._vm_backoff = Backoff(rng)
         self._vm_waiting = False
@@ -123,7 +121,6 @@
             self._snapshots.tick(now_ms, len(earlier))
             self._in_force.tick(self._find_in_force, now_ms, wall_ms)
             self._record_in_force(now_ms)
-            self._is_following = True
         self._audit.tick(now_ms)
 
     def _begin(self, now_ms: int) -> None:
@@ -136,7 +133,6 @@
         self._in_force.restart()
         self._audit.restart()
         self._vm_waiting = False
-        self._is_following = False
 
     def _end(self, now_ms: int) -> None:
         self._tickets.stop()
@@ -151,21 +147,11 @@
             self._parts.trail.record("ticket_in_force", now_ms, fields)
         self._announced = number
 
-    def _record_accepted(self, entries: Sequence[KeyEntry], now_ms: int) -> None:
-        for entry in entries:
-            ticket = read_ticket(entry)
-            if ticket is not None:
-                _, author = read_identity(ticket.text)
-                fields = {"ticket": ticket.number, "author": author}
-                self._parts.trail.record("ticket_accepted", now_ms, fields)
-
     def _next_ticket_key(self) -> str:
         return ticket_key(self._parts.feed.number)
 
     def _receive_tickets(self, entries: Sequence[KeyEntry], now_ms: int) -> None:
         before = self._parts.feed.number
-        if self._is_following:
-            self._record_accepted(entries, now_ms)
         self.on_tickets(entries, now_ms)
         numbers = [int(e.key[-10:]) for e in entries if e.revision and e.key[-10:].isdigit()]
         if numbers and self._parts.feed.number == before and min(numbers) > before + 1:
--- a/libs/fleet/burdockrun_fleet/submission.py
+++ b/libs/fleet/burdockrun_fleet/submission.py
@@ -223,13 +223,26 @@
     >>> read_identity("[]")
     ('', '')
     """
+    return _read_texts(text, "submission_id", "author")
+
+
+def read_author(text: str) -> tuple[str, str]:
+    """Return author and reason in the text of a ticket, empty where they are missing.
+
+    >>> read_author('{"author": "eva", "reason": "move"}'), read_author("{")
+    (('eva', 'move'), ('', ''))
+    """
+    return _read_texts(text, "author", "reason")
+
+
+def _read_texts(text: str, first: str, second: str) -> tuple[str, str]:
     try:
         document = json.loads(text)
     except ValueError:
         return "", ""
     if not isinstance(document, dict):
         return "", ""
-    return str(document.get("submission_id", "")), str(document.get("author", ""))
+    return str(document.get(first, "")), str(document.get(second, ""))
 
 
 def _ignore(reply: PlatformReply, now_ms: int) -> None:
--- a/tests/fleet/test_coordinator.py
+++ b/tests/fleet/test_coordinator.py
@@ -163,7 +163,7 @@
     reply = simulation.write(ListKeys(prefix="audit/"))
     assert isinstance(reply, KeysReply)
     records = [record for entry in reply.entries for record in json.loads(entry.value)]
-    accepted = [r["fields"] for r in records if r["kind"] == "ticket_accepted"]
-    assert {"ticket": 2, "author": "operator"} in accepted
+    accepted = [r["fields"] for r in records if r["kind"] == "ticket"]
+    assert {"ticket": 2, "author": "operator", "reason": "test"} in accepted
     assert any(r["kind"] == "ticket_in_force" and r["fields"]["ticket"] == 2 for r in records)
     assert any(r["fields"].get("node") == "proxy-0006" for r in records)
--- a/tests/fleet/test_tickets.py
+++ b/tests/fleet/test_tickets.py
@@ -13,6 +13,7 @@
     ListKeys,
     NodeInfo,
     Outbox,
+    PutKey,
     SendPeer,
     SnapshotPush,
     TicketRecord,
@@ -57,6 +58,15 @@
     assert set(feed.configuration.services) == {"s-2"}
 
 
+def test_a_committed_text_that_is_no_ticket_stops_no_node() -> None:
+    """Guards against coordinators that end on a value written around the client."""
+    simulation = start_fleet(seed=15, count=8)
+    simulation.write(PutKey(key=ticket_key(2), value="{", expected_revision=0))
+    put_tickets(simulation, 3, 3)
+    simulation.run(4_000)
+    assert numbers_in_force(simulation) == {3}
+
+
 def test_an_older_snapshot_never_replaces_newer_tickets() -> None:
     """Guards against a step back by a late snapshot."""
     old, new = TicketFeed(FORMAT, Outbox()), TicketFeed(FORMAT, Outbox())
