--- a/libs/fleet/burdockrun_fleet/roles.py
+++ b/libs/fleet/burdockrun_fleet/roles.py
@@ -156,8 +156,12 @@
             if holding.member.domain != roster.domain or holding.closing:
                 continue
             role = self._find_role(holding.member, roster) if name in members else None
+            if role is not Role.HOME or dropped:
+                holding.successor = None
             if role is holding.role and not dropped:
                 continue
+            if holding.successor is not None:
+                continue
             if self._can_step_up(holding, role) and not dropped:
                 holding.successor = self._build_holding(holding.member, Role.HOME, roster, before)
                 self._pending.add(name)
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -435,6 +435,7 @@
         self._outbox.log(
             TERM_LEARNED, database=record.database, term=record.term, state=record.state
         )
+        self._acknowledger.learn_record(record, now_ms)
         supervisor = self._supervisors.get(record.database)
         if supervisor is not None:
             supervisor.learn_record(record, now_ms)
--- a/libs/proxy/burdockrun_proxy/pool.py
+++ b/libs/proxy/burdockrun_proxy/pool.py
@@ -5,7 +5,7 @@
 
 from burdockrun_messages import CloseConnection, Member, OpenConnection, Outbox
 
-from burdockrun_proxy.const import RECONNECT_DELAY_MS, RECONNECT_MAX_DELAY_MS
+from burdockrun_proxy.const import LINGER_MS, RECONNECT_DELAY_MS, RECONNECT_MAX_DELAY_MS
 from burdockrun_proxy.models import Connection, ConnectionState
 
 
@@ -19,6 +19,7 @@
         self._connections: dict[int, Connection] = {}
         self._idle: list[int] = []
         self._closing: set[int] = set()
+        self._lingering_until_ms: list[int] = []
         self._retry_at_ms = 0
         self._failures = 0
 
@@ -51,8 +52,11 @@
         """Open or close connections towards the budget; busy ones close when they are done."""
         # One attempt at a time after a failure, so that an endpoint that is down sees few of them.
         wanted = min(budget, 1) if self._failures else budget
-        while len(self) < wanted and now_ms >= self._retry_at_ms:
+        self._lingering_until_ms = [at_ms for at_ms in self._lingering_until_ms if at_ms > now_ms]
+        free = budget - len(self) - len(self._lingering_until_ms)
+        while free > 0 and len(self) < wanted and now_ms >= self._retry_at_ms:
             self._open()
+            free -= 1
         surplus = len(self._connections) - budget
         while surplus > 0 and self._idle:
             self.close(self._idle[-1])
@@ -115,6 +119,8 @@
         delay_ms = RECONNECT_DELAY_MS * 2 ** min(self._failures, 8)
         self._retry_at_ms = now_ms + min(delay_ms, RECONNECT_MAX_DELAY_MS)
         self._failures += 1
+        # The endpoint may not have noticed the loss yet and still count the connection.
+        self._lingering_until_ms.append(now_ms + LINGER_MS)
         return self._failures == 1
 
     def _open(self) -> None:
--- a/tests/proxy/test_home.py
+++ b/tests/proxy/test_home.py
@@ -15,6 +15,7 @@
     SendExecute,
     StatementRequest,
 )
+from burdockrun_proxy.const import LINGER_MS
 from burdockrun_proxy.freshness import FreshnessCheck
 from burdockrun_proxy.home import MemberHome
 from burdockrun_proxy.models import HomeReply, HomeRequest
@@ -110,3 +111,18 @@
     pool.end_closing(opened[0].connection_id)
     pool.resize(2, 20)
     assert [type(action) for action in outbox.drain()] == [OpenConnection]
+
+
+def test_lost_connection_counts_until_the_endpoint_has_noticed() -> None:
+    """Guards against a connection limit exceeded by half-open connections."""
+    outbox = Outbox()
+    pool = ConnectionPool(MEMBER, outbox, count(1))
+    pool.resize(1, 0)
+    opened = [action for action in outbox.drain() if isinstance(action, OpenConnection)]
+    pool.mark_open(opened[0].connection_id)
+    pool.forget(opened[0].connection_id)
+    pool.note_failure(1_000)
+    pool.resize(1, 1_000 + LINGER_MS - 1)
+    assert outbox.drain() == []
+    pool.resize(1, 1_000 + LINGER_MS)
+    assert [type(action) for action in outbox.drain()] == [OpenConnection]
