Move a session to the tombstone of a write that did not run, and apply new ranks at homes

Change: the answer carries the tombstone's position into the token; homes take over ranks, slots and addresses; refusals of sessions, accounts, retries and work are counted and logged at most once a second; the check of acknowledgements skips a primary of an earlier term, everything later stays compared.

--- a/libs/admission/burdockrun_admission/first_come.py
+++ b/libs/admission/burdockrun_admission/first_come.py
@@ -1,7 +1,9 @@
 """First come, first served: the naive queue that the scheduler is compared with."""
 
 from collections import deque
+from collections.abc import Sequence
 
+from burdockrun_messages import Rank
 from result import Ok, Result
 
 from burdockrun_admission.models import Refusal, Take, Work
@@ -15,6 +17,12 @@
         self._queue: deque[Work] = deque()
         self._started: set[int] = set()
 
+    def configure(self, ranks: Sequence[Rank], slots: int) -> tuple[Work, ...]:
+        """Change the slots; ranks have no meaning here."""
+        del ranks
+        self._slots = slots
+        return ()
+
     @property
     def waiting(self) -> int:
         """Number of requests that wait."""
--- a/libs/bench/burdockrun_bench/invariants.py
+++ b/libs/bench/burdockrun_bench/invariants.py
@@ -189,7 +189,8 @@
             self.acknowledged_writes += 1
         ledger.acknowledged[identifier] = position
         log = self._find_log(request.database)
-        if log is None:
+        # Just after a primary failed, the greatest one left may be of an earlier term.
+        if log is None or log.last.term < position.term:
             return
         self.checked["I2"] += 1
         index = log.find_request(identifier)
--- a/libs/messages/burdockrun_messages/outbox.py
+++ b/libs/messages/burdockrun_messages/outbox.py
@@ -1,6 +1,7 @@
 """Collects the actions of decisions and returns replies to the decision that asked."""
 
 from collections.abc import Callable
+from typing import Final
 
 from burdockrun_base import LogEvent
 
@@ -19,6 +20,8 @@
 from burdockrun_messages.peers import PeerMessage
 from burdockrun_messages.platform import PlatformOperation, PlatformReply
 
+SELDOM_MS: Final = 1_000
+
 OnControlReply = Callable[[ControlReply | None, int], None]
 OnPlatformReply = Callable[[PlatformReply, int], None]
 
@@ -35,6 +38,7 @@
         self._next_call_id = 1
         self._control_calls: dict[int, OnControlReply] = {}
         self._platform_calls: dict[int, OnPlatformReply] = {}
+        self._seldom: dict[int, tuple[int | None, int]] = {}
 
     def drain(self) -> list[Action]:
         """Return the collected actions and forget them."""
@@ -80,6 +84,15 @@
         """Write a numbered log event."""
         self.add(RecordLog(event=event, fields=fields))
 
+    def log_seldom(self, event: LogEvent, now_ms: int, **fields: object) -> None:
+        """Write a log event at most once a second, with the number of those left out before."""
+        last_ms, left_out = self._seldom.get(event.number, (None, 0))
+        if last_ms is not None and now_ms - last_ms < SELDOM_MS:
+            self._seldom[event.number] = (last_ms, left_out + 1)
+            return
+        self._seldom[event.number] = (now_ms, 0)
+        self.log(event, **fields, left_out=left_out)
+
     def count(self, name: str, count: int = 1) -> None:
         """Add to a counter."""
         self.add(RecordMetric(name=name, count=count))
--- a/libs/proxy/burdockrun_proxy/entry.py
+++ b/libs/proxy/burdockrun_proxy/entry.py
@@ -6,7 +6,7 @@
 from itertools import count
 from random import Random
 
-from burdockrun_admission import AccountLimiter
+from burdockrun_admission import EVENT_ACCOUNT_LIMITED, METRIC_ACCOUNT_LIMITED, AccountLimiter
 from burdockrun_messages import (
     Code,
     Configuration,
@@ -27,8 +27,18 @@
     StatementRequest,
     TransactionStep,
 )
-from burdockrun_routing import PositionTable, RetryBudget
-from burdockrun_sessions import SessionToken, TokenCodec
+from burdockrun_routing import (
+    EVENT_NO_MEMBER_CURRENT,
+    EVENT_RETRY_BUDGET_SPENT,
+    METRIC_READ_AT_PRIMARY,
+    METRIC_READ_AT_REPLICA,
+    METRIC_READ_BEHIND,
+    METRIC_RETRY_REFUSED,
+    PositionTable,
+    RetryBudget,
+)
+from burdockrun_sessions import EVENT_TOKEN_REFUSED, SessionToken, TokenCodec
+from burdockrun_sessions import METRIC_REFUSED as METRIC_SESSION_REFUSED
 from result import Err, Ok, Result
 
 from burdockrun_proxy.const import (
@@ -124,9 +134,16 @@
         self._outbox.count("requests")
         checked = self._check(request)
         if isinstance(checked, Err):
+            if checked.err_value.code is Code.BAD_SESSION:
+                self._outbox.count(METRIC_SESSION_REFUSED)
+                self._outbox.log_seldom(
+                    EVENT_TOKEN_REFUSED, now_ms, reason=checked.err_value.message
+                )
             self._outbox.add(SendAnswer(caller_id=caller_id, answer=checked.err_value))
             return
         if not self._limiter.try_enter(request.account):
+            self._outbox.count(METRIC_ACCOUNT_LIMITED)
+            self._outbox.log_seldom(EVENT_ACCOUNT_LIMITED, now_ms, account=request.account)
             answer = refuse(request, Code.OVERLOADED, "client account has too much in flight")
             self._outbox.add(SendAnswer(caller_id=caller_id, answer=answer))
             return
@@ -368,6 +385,8 @@
         if reply.status is ForwardStatus.ANSWERED and reply.answer is not None:
             self._finish(pending, reply.answer, now_ms)
             return
+        if reply.status is ForwardStatus.BEHIND:
+            self._outbox.count(METRIC_READ_BEHIND)
         if reply.status is ForwardStatus.BEHIND and member not in pending.avoid:
             pending.avoid.add(member)
             self._route(pending, now_ms)
@@ -384,6 +403,8 @@
     def _retry(self, pending: Pending, now_ms: int) -> None:
         pending.node = None
         if not self._retries.try_spend():
+            self._outbox.count(METRIC_RETRY_REFUSED)
+            self._outbox.log_seldom(EVENT_RETRY_BUDGET_SPENT, now_ms)
             self._finish_refused(pending, Code.RETRY_BUDGET, "retry budget is used up", now_ms)
             return
         self._outbox.count("retries")
@@ -407,6 +428,10 @@
             self._finish(pending, answer, now_ms)
             return
         code = self._name_expiry(pending)
+        if code is Code.NO_MEMBER_CURRENT:
+            self._outbox.log_seldom(
+                EVENT_NO_MEMBER_CURRENT, now_ms, database=pending.request.database
+            )
         self._finish_refused(pending, code, "deadline passed before the request ran", now_ms)
 
     def _name_expiry(self, pending: Pending) -> Code:
@@ -431,11 +456,19 @@
         self._limiter.leave(pending.request.account)
         if answer.outcome is Outcome.NOT_RUN and pending.maybe_ran:
             answer = self._doubt(pending, answer)
+        if answer.outcome is Outcome.DONE and not is_write(pending.request):
+            self._count_read(pending, answer)
         answer = replace(answer, session=self._build_session(pending, answer))
         self._outbox.count(f"outcome.{answer.outcome}")
         self._outbox.time(f"latency.{pending.rank}", now_ms - pending.arrived_ms)
         self._outbox.add(SendAnswer(caller_id=pending.caller_id, answer=answer))
 
+    def _count_read(self, pending: Pending, answer: StatementAnswer) -> None:
+        record = self.records.get(pending.request.database)
+        primary = record.active.primary if record is not None and record.active else None
+        at_primary = answer.member == primary
+        self._outbox.count(METRIC_READ_AT_PRIMARY if at_primary else METRIC_READ_AT_REPLICA)
+
     def _doubt(self, pending: Pending, answer: StatementAnswer) -> StatementAnswer:
         """Return `unknown` for a refusal after an attempt whose effect was never settled."""
         if answer.code is Code.ANSWER_LOST:
@@ -444,7 +477,7 @@
 
     def _build_session(self, pending: Pending, answer: StatementAnswer) -> str:
         token = pending.token
-        if answer.outcome is Outcome.DONE and answer.term is not None and answer.index is not None:
+        if answer.term is not None and answer.index is not None:
             position = LogPosition(term=answer.term, index=answer.index)
             token = token.advance(pending.request.database, position)
         return self._codec.encode(token, pending.request.account)
--- a/libs/proxy/burdockrun_proxy/home.py
+++ b/libs/proxy/burdockrun_proxy/home.py
@@ -3,7 +3,14 @@
 from collections.abc import Callable
 from itertools import count
 
-from burdockrun_admission import Refusal, Work
+from burdockrun_admission import (
+    EVENT_WORK_EXPIRED,
+    EVENT_WORK_REFUSED,
+    METRIC_EXPIRED,
+    METRIC_REFUSED,
+    Refusal,
+    Work,
+)
 from burdockrun_failover import Acknowledger
 from burdockrun_messages import (
     Access,
@@ -43,7 +50,7 @@
     refuse,
     scope_request_id,
 )
-from burdockrun_proxy.policies import WorkScheduler
+from burdockrun_proxy.policies import WorkScheduler, count_in_service
 from burdockrun_proxy.pool import ConnectionPool
 from burdockrun_proxy.settlement import OpenQuestion, Settlement
 from burdockrun_proxy.transactions import TransactionTable
@@ -109,6 +116,17 @@
         """Return whether nothing is open or in flight."""
         return self.in_flight == 0 and len(self.pool) == 0
 
+    def configure(self, service: Service, database: Database, member: Member, now_ms: int) -> None:
+        """Take over a new configuration of the member and its work ranks."""
+        self._service = service
+        self.database = database
+        self.member = member
+        self.pool.move(member)
+        for work in self._scheduler.configure(service.ranks, count_in_service(database)):
+            request = self._waiting.pop(work.work_id)
+            answer = refuse(request.request, Code.UNKNOWN_RANK, "the work rank was removed")
+            self._reply_answer(request, answer, now_ms)
+
     def set_budget(self, budget: int, now_ms: int) -> None:
         """Set how many connections this node may have open to the member."""
         self._budget = budget
@@ -511,10 +529,14 @@
     def _expire(self, work: Work, now_ms: int) -> None:
         request = self._waiting.pop(work.work_id, None)
         if request is not None:
+            self._outbox.count(METRIC_EXPIRED)
+            self._outbox.log_seldom(EVENT_WORK_EXPIRED, now_ms, rank=work.rank)
             answer = refuse(request.request, Code.DEADLINE, "deadline passed while waiting")
             self._reply_answer(request, answer, now_ms)
 
     def _reply_refused(self, request: HomeRequest, refusal: Refusal, now_ms: int) -> None:
+        self._outbox.count(METRIC_REFUSED)
+        self._outbox.log_seldom(EVENT_WORK_REFUSED, now_ms, rank=request.rank, code=refusal.code)
         answer = refuse(
             request.request,
             refusal.code,
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -311,6 +311,9 @@
             found = configuration.find_database(name)
             if found is not None:
                 supervisor.set_database(found[1])
+        for name, home in self._homes.items():
+            if name in self._members:
+                home.configure(*self._members[name], now_ms)
         self._outbox.log(CONFIGURATION_IN_FORCE, ticket=configuration.number)
         self._resize_homes(now_ms)
 
--- a/libs/proxy/burdockrun_proxy/policies.py
+++ b/libs/proxy/burdockrun_proxy/policies.py
@@ -1,6 +1,6 @@
 """Behaviour that differs between the proxy and its naive version."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
 from typing import Final, Protocol
@@ -9,7 +9,7 @@
 from burdockrun_admission.first_come import FirstComeQueue
 from burdockrun_base import Registry
 from burdockrun_fleet import FleetAgent
-from burdockrun_messages import Database, Member, Service
+from burdockrun_messages import Database, Member, Rank, Service
 from burdockrun_routing import PositionTable, ReadQuery, choose_read_member
 from result import Result
 
@@ -35,13 +35,17 @@
 ChooseRead = Callable[[ReadSituation, int, Random], Member | None]
 
 
-# One statement waits at the member, so that a slot is not idle for the round trip to the home.
+# Statements that wait at the member, so that a slot is not idle for the round trip to the home.
 SENT_AHEAD: Final = 2
 
 
 class WorkScheduler(Protocol):
     """Order in which the statements for a member run."""
 
+    def configure(self, ranks: Sequence[Rank], slots: int) -> tuple[Work, ...]:
+        """Change ranks and slots; return the waiting work whose rank is gone."""
+        ...
+
     @property
     def waiting(self) -> int:
         """Number of requests that wait."""
@@ -109,16 +113,21 @@
     return situation.find_primary()
 
 
+def count_in_service(database: Database) -> int:
+    """Return how many statements may be at a member at the same time."""
+    return database.slots + SENT_AHEAD
+
+
 @scheduler_policies.register("ranks")
 def build_rank_scheduler(service: Service, database: Database) -> RankScheduler:
     """Return a scheduler that serves urgent ranks first."""
-    return RankScheduler(service.ranks, database.slots + SENT_AHEAD)
+    return RankScheduler(service.ranks, count_in_service(database))
 
 
 @scheduler_policies.register("first_come")
 def build_first_come(service: Service, database: Database) -> FirstComeQueue:
     """Return a scheduler that serves in order of arrival and refuses nothing."""
-    return FirstComeQueue(database.slots)
+    return FirstComeQueue(count_in_service(database))
 
 
 DEFAULT_POLICIES: Final = Policies(
--- a/libs/proxy/burdockrun_proxy/pool.py
+++ b/libs/proxy/burdockrun_proxy/pool.py
@@ -48,6 +48,17 @@
         """Return how many connections belong to transactions."""
         return sum(1 for connection in self if connection.transaction is not None)
 
+    def move(self, member: Member) -> None:
+        """Take over a new configuration of the member; another address closes all connections."""
+        old, self.member = self.member, member
+        if (old.host, old.port) == (member.host, member.port):
+            return
+        for connection in self:
+            if connection.state is ConnectionState.IDLE:
+                self.close(connection.connection_id)
+            else:
+                connection.close_when_idle = True
+
     def resize(self, budget: int, now_ms: int) -> None:
         """Open or close connections towards the budget; busy ones close when they are done."""
         # One attempt at a time after a failure, so that an endpoint that is down sees few of them.
--- a/libs/proxy/burdockrun_proxy/settlement.py
+++ b/libs/proxy/burdockrun_proxy/settlement.py
@@ -1,7 +1,7 @@
 """Finds out whether a write took effect whose answer was lost."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from burdockrun_failover import Acknowledger
 from burdockrun_messages import (
@@ -104,7 +104,13 @@
 
 def _build_answer(request: StatementRequest, settled: Settled, member: str) -> StatementAnswer:
     if not settled.ran:
-        return refuse(request, Code.ANSWER_LOST, "the request did not run and can no longer run")
+        # The session must not read from a member that lacks the tombstone: such a member may still
+        # show the entry that the tombstone replaces.
+        return replace(
+            refuse(request, Code.ANSWER_LOST, "the request did not run and can no longer run"),
+            term=settled.position.term,
+            index=settled.position.index,
+        )
     return StatementAnswer(
         request_id=request.request_id,
         outcome=Outcome.DONE,
