--- a/libs/proxy/burdockrun_proxy/entry.py
+++ b/libs/proxy/burdockrun_proxy/entry.py
@@ -20,12 +20,9 @@
     NodeInfo,
     Outbox,
     Outcome,
-    Rank,
     SendAnswer,
-    Service,
     StatementAnswer,
     StatementRequest,
-    TransactionStep,
 )
 from burdockrun_routing import (
     EVENT_NO_MEMBER_CURRENT,
@@ -37,10 +34,11 @@
     PositionTable,
     RetryBudget,
 )
-from burdockrun_sessions import EVENT_TOKEN_REFUSED, SessionToken, TokenCodec
+from burdockrun_sessions import EVENT_TOKEN_REFUSED, TokenCodec
 from burdockrun_sessions import METRIC_REFUSED as METRIC_SESSION_REFUSED
-from result import Err, Ok, Result
+from result import Err, Result
 
+from burdockrun_proxy.checks import Checked, RequestChecker
 from burdockrun_proxy.const import (
     HELD_RECHECK_MS,
     LOST_NODE_AVOIDED_MS,
@@ -65,17 +63,6 @@
 AcceptHere = Callable[[str, HomeRequest, int], bool]
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Checked:
-    """Request whose names and session token are valid."""
-
-    service: Service
-    database: Database
-    rank: str
-    rank_order: int
-    token: SessionToken
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Route:
     """Member that shall run a request and the node that is asked to."""
@@ -105,6 +92,7 @@
     ) -> None:
         self._node = node
         self._codec = codec
+        self._checker = RequestChecker(codec)
         self._directory = directory
         self._placement = placement
         self._positions = positions
@@ -206,47 +194,7 @@
     def _check(self, request: StatementRequest) -> Result[Checked, StatementAnswer]:
         if self.draining and request.transaction is None:
             return Err(self._refuse_draining(request))
-        if self.configuration.number == 0:
-            return Err(refuse(request, Code.NO_CONFIGURATION, "no change ticket is in force here"))
-        found = self.configuration.find_database(request.database)
-        if found is None:
-            return Err(refuse(request, Code.UNKNOWN_DATABASE, f"no database {request.database!r}"))
-        service, database = found
-        if service.account != request.account:
-            return Err(
-                refuse(
-                    request,
-                    Code.UNKNOWN_ACCOUNT,
-                    f"database {request.database!r} does not belong to {request.account!r}",
-                )
-            )
-        rank = find_rank(service, request.rank)
-        if rank is None:
-            return Err(refuse(request, Code.UNKNOWN_RANK, f"no work rank {request.rank!r}"))
-        step_fault = check_step(request)
-        if step_fault is not None:
-            return Err(refuse(request, Code.BAD_REQUEST, step_fault))
-        token = self._decode_token(request)
-        if isinstance(token, Err):
-            return token
-        return Ok(
-            Checked(
-                service=service,
-                database=database,
-                rank=rank.name,
-                rank_order=rank.order,
-                token=token.ok_value,
-            )
-        )
-
-    def _decode_token(self, request: StatementRequest) -> Result[SessionToken, StatementAnswer]:
-        if request.session is None:
-            return Ok(SessionToken())
-        decoded = self._codec.decode(request.session, request.account)
-        if isinstance(decoded, Ok):
-            return Ok(decoded.ok_value)
-        answer = refuse(request, Code.BAD_SESSION, str(decoded.err_value))
-        return Err(replace(answer, session=None))
+        return self._checker.check(request, self.configuration)
 
     def _refuse_draining(self, request: StatementRequest) -> StatementAnswer:
         others = tuple(
@@ -481,21 +429,3 @@
             position = LogPosition(term=answer.term, index=answer.index)
             token = token.advance(pending.request.database, position)
         return self._codec.encode(token, pending.request.account)
-
-
-def find_rank(service: Service, name: str | None) -> Rank | None:
-    """Return the rank called `name`, or the least urgent one for None."""
-    if name is None:
-        return max(service.ranks, key=lambda rank: rank.order)
-    return next((rank for rank in service.ranks if rank.name == name), None)
-
-
-def check_step(request: StatementRequest) -> str | None:
-    """Return what is wrong with the transaction fields of a request, or None."""
-    if request.step is TransactionStep.BEGIN and request.transaction is not None:
-        return "begin takes no transaction id"
-    if request.step not in (None, TransactionStep.BEGIN) and request.transaction is None:
-        return f"step {request.step} needs a transaction id"
-    if request.step is None and request.transaction is not None:
-        return "a transaction id needs a step"
-    return None
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -58,6 +58,7 @@
 from burdockrun_proxy.entry import EntryDesk
 from burdockrun_proxy.freshness import FreshnessCheck
 from burdockrun_proxy.home import MemberHome
+from burdockrun_proxy.homes import MemberHomes
 from burdockrun_proxy.models import HomeReply, HomeRequest
 from burdockrun_proxy.policies import DEFAULT_POLICIES, Policies
 from burdockrun_proxy.settlement import Settlement
@@ -99,14 +100,12 @@
         self._positions = PositionTable()
         self._probe_budget = ProbeBudget()
         self._records: dict[str, GroupRecord] = {}
-        self._homes: dict[str, MemberHome] = {}
         self._supervisors: dict[str, GroupSupervisor] = {}
         self._forwarded = 0
         self._draining = False
         self._drain_reported = False
         self._hand_over_until_ms = 0
         self._configuration = Configuration()
-        self._members: dict[str, tuple[Service, Database, Member]] = {}
         self.fleet = FleetAgent(
             node, seeds, self._outbox, rng, ticket_format, wall_offset_ms=wall_offset_ms
         )
@@ -116,6 +115,9 @@
         self._acknowledger = Acknowledger(self._outbox)
         self._settlement = Settlement(self._outbox, self._acknowledger, self._find_primary)
         self._freshness = FreshnessCheck(self._outbox)
+        self._homes = MemberHomes(
+            self._placement, self._records, self._build_home, self.fleet.is_leaving
+        )
         self._entry = EntryDesk(
             node=node,
             codec=TokenCodec(session_keys),
@@ -149,7 +151,7 @@
             info=self.info,
             configuration=self._configuration,
             records=self._records,
-            homes=self._homes,
+            homes=self._homes.by_member,
             positions=self._positions,
             nodes=self.fleet.list_nodes(),
             rosters=self.fleet.rosters,
@@ -171,19 +173,19 @@
 
     @_handlers.register("ConnectionOpened")
     def _connection_opened(self, event: ConnectionOpened, now_ms: int) -> None:
-        home = self._find_owner(event.connection_id)
+        home = self._homes.find_owner(event.connection_id)
         if home is not None:
             home.connection_opened(event.connection_id, now_ms)
 
     @_handlers.register("ConnectionClosed")
     def _connection_closed(self, event: ConnectionClosed, now_ms: int) -> None:
-        home = self._find_owner(event.connection_id)
+        home = self._homes.find_owner(event.connection_id)
         if home is not None:
             home.connection_closed(event.connection_id, event.reason, now_ms)
 
     @_handlers.register("ExecuteAnswered")
     def _execute_answered(self, event: ExecuteAnswered, now_ms: int) -> None:
-        home = self._find_owner(event.connection_id)
+        home = self._homes.find_owner(event.connection_id)
         if home is not None:
             home.execute_answered(event.connection_id, event.answer, now_ms)
 
@@ -218,11 +220,11 @@
     @_handlers.register("TimerFired")
     def _timer_fired(self, event: TimerFired, now_ms: int) -> None:
         self.fleet.tick(now_ms)
-        self._resize_homes(now_ms)
+        self._homes.resize(now_ms)
+        self._supervise(now_ms)
         for supervisor in self._supervisors.values():
             supervisor.tick(now_ms)
-        for home in tuple(self._homes.values()):
-            home.tick(now_ms)
+        self._homes.tick(now_ms)
         self._settlement.tick(now_ms)
         self._acknowledger.tick(now_ms)
         self._entry.tick(now_ms)
@@ -283,7 +285,7 @@
 
     def _accept(self, member: str, request: HomeRequest, now_ms: int) -> bool:
         """Hand a request to the home of a member; return False when this node has no role."""
-        home = self._homes.get(member)
+        home = self._homes.find(member)
         if home is None:
             return False
         # A transaction that begins now could keep the process from ending.
@@ -292,70 +294,19 @@
         home.accept(request, now_ms)
         return True
 
-    def _find_owner(self, connection_id: int) -> MemberHome | None:
-        for home in self._homes.values():
-            if home.pool.find(connection_id) is not None or home.pool.is_closing(connection_id):
-                return home
-        return None
-
     def _apply_configuration(self, configuration: Configuration, now_ms: int) -> None:
         self._configuration = configuration
         self._entry.configuration = configuration
-        self._members = {
-            member.name: (service, database, member)
-            for service in configuration.services.values()
-            for database in service.databases
-            for member in database.members
-        }
         for name, supervisor in self._supervisors.items():
             found = configuration.find_database(name)
             if found is not None:
                 supervisor.set_database(found[1])
-        for name, home in self._homes.items():
-            if name in self._members:
-                home.configure(*self._members[name], now_ms)
         self._outbox.log(CONFIGURATION_IN_FORCE, ticket=configuration.number)
-        self._resize_homes(now_ms)
-
-    def _resize_homes(self, now_ms: int) -> None:
-        """Take up and give up roles so that each home holds its connection budget."""
-        for name in self._placement.list_role_members():
-            found = self._members.get(name)
-            if found is not None:
-                self._resize_home(*found, now_ms)
-        roles = set(self._placement.list_role_members())
-        for name, home in tuple(self._homes.items()):
-            if name not in self._members or name not in roles:
-                home.set_budget(0, now_ms)
-            self._close_unused(name, home, now_ms)
+        self._homes.configure(configuration, now_ms)
         self._supervise(now_ms)
 
-    def _resize_home(
-        self, service: Service, database: Database, member: Member, now_ms: int
-    ) -> None:
-        budget = self._placement.connection_budget(database, member, now_ms)
-        if self._serves_nothing(member):
-            budget = 0
-        home = self._homes.get(member.name)
-        if home is None and budget > 0:
-            home = self._open_home(service, database, member)
-        if home is not None:
-            home.set_budget(budget, now_ms)
-
-    def _serves_nothing(self, member: Member) -> bool:
-        record = None
-        found = self._members.get(member.name)
-        if found is not None:
-            record = self._records.get(found[1].name)
-        is_primary = (
-            record is not None
-            and record.active is not None
-            and record.active.primary == member.name
-        )
-        return self.fleet.is_leaving(member) and not is_primary
-
-    def _open_home(self, service: Service, database: Database, member: Member) -> MemberHome:
-        home = MemberHome(
+    def _build_home(self, service: Service, database: Database, member: Member) -> MemberHome:
+        return MemberHome(
             service=service,
             database=database,
             member=member,
@@ -369,21 +320,9 @@
             scheduler=self._policies.scheduler(service, database),
             on_life=partial(self._note_life, database.name),
         )
-        record = self._records.get(database.name)
-        if record is not None:
-            home.record = record
-        self._homes[member.name] = home
-        return home
-
-    def _close_unused(self, name: str, home: MemberHome, now_ms: int) -> None:
-        if not home.has_budget:
-            home.stop_roles(now_ms)
-            if home.unused:
-                del self._homes[name]
-                self._placement.release_connections(home.member, now_ms)
 
     def _supervise(self, now_ms: int) -> None:
-        wanted = {home.database.name for home in self._homes.values() if home.has_budget}
+        wanted = self._homes.list_databases()
         for name in wanted - self._supervisors.keys():
             found = self._configuration.find_database(name)
             if found is None:
@@ -442,9 +381,7 @@
         supervisor = self._supervisors.get(record.database)
         if supervisor is not None:
             supervisor.learn_record(record, now_ms)
-        for home in self._homes.values():
-            if home.database.name == record.database:
-                home.learn_record(record, now_ms)
+        self._homes.learn_record(record, now_ms)
         self._entry.record_changed(record.database, now_ms)
         return True
 
@@ -481,7 +418,7 @@
         if self._can_hand_over() and now_ms < self._hand_over_until_ms:
             return
         busy = self._entry.in_flight or self._forwarded
-        if busy or any(home.in_flight for home in self._homes.values()):
+        if busy or self._homes.in_flight:
             return
         self._drain_reported = True
         self._outbox.add(DrainFinished())
