Check the program's own rules always and bound the wait for a replica

Cause: one rule was a bare assert, its log event was never written, and a read waited for a lagging replica up to its deadline where the design allows a round trip.

--- a/libs/bench/burdockrun_bench/soak.py
+++ b/libs/bench/burdockrun_bench/soak.py
@@ -68,6 +68,7 @@
         session_keys=(SESSION_KEY,),
         ticket_format=TICKET_FORMAT,
         rng=rng,
+        strict=True,
     )
 
 
--- a/libs/proxy/burdockrun_proxy/home.py
+++ b/libs/proxy/burdockrun_proxy/home.py
@@ -32,7 +32,7 @@
     StatementRequest,
     TransactionStep,
 )
-from burdockrun_routing import PositionTable, estimate_catch_up_ms
+from burdockrun_routing import PositionTable
 from result import Err
 
 from burdockrun_proxy.const import CONNECTION_FAILED, MAX_CONFIRMATION_MS, STALL_MS
@@ -50,8 +50,10 @@
     refuse,
     scope_request_id,
 )
+from burdockrun_proxy.parking import ParkedReads
 from burdockrun_proxy.policies import WorkScheduler, count_in_service
 from burdockrun_proxy.pool import ConnectionPool
+from burdockrun_proxy.rules import Rules
 from burdockrun_proxy.settlement import OpenQuestion, Settlement
 from burdockrun_proxy.transactions import TransactionTable
 
@@ -77,6 +79,7 @@
         acknowledger: Acknowledger,
         settlement: Settlement,
         freshness: FreshnessCheck,
+        rules: Rules,
         scheduler: WorkScheduler,
         on_life: OnLife,
     ) -> None:
@@ -90,13 +93,14 @@
         self._acknowledger = acknowledger
         self._settlement = settlement
         self._freshness = freshness
+        self._rules = rules
         self._scheduler = scheduler
         self._on_life = on_life
         self._budget = 0
         self._answered_ms = 0
         self._confirmation = DelayEstimate()
         self._waiting: dict[int, HomeRequest] = {}
-        self._parked: list[tuple[int, HomeRequest]] = []
+        self._parked = ParkedReads(outbox)
         self.pool = ConnectionPool(member, outbox, ids)
         self.transactions = TransactionTable(node, member.name, self.pool, outbox, ids)
 
@@ -131,6 +135,12 @@
         """Set how many connections this node may have open to the member."""
         self._budget = budget
         self.pool.resize(budget, now_ms)
+        if budget > 0:
+            self._rules.require(
+                self.pool.count_opening() == 0 or len(self.pool) <= budget,
+                "no connection is opened beyond the budget",
+                member=self.member.name,
+            )
 
     def accept(self, request: HomeRequest, now_ms: int) -> None:
         """Queue a request or reply at once why it cannot run here."""
@@ -151,7 +161,8 @@
                 self._reply_not_primary(request, now_ms)
                 return
             self._prove_primary(request)
-        if request.max_lag_ms is None and self._wait_for_position(request, now_ms):
+        view = self._positions.view(self.database.name, self.member.name)
+        if request.max_lag_ms is None and self._parked.try_park(request, view, now_ms):
             return
         self._enqueue(request, now_ms)
         self.pump(now_ms)
@@ -214,7 +225,8 @@
         """Do what is due: resize the pool, drop expired work, end silent transactions."""
         self.pool.resize(self._budget, now_ms)
         self.transactions.expire(now_ms)
-        self._resume_parked(now_ms)
+        for request in self._parked.take_due(now_ms):
+            self._enqueue(request, now_ms)
         self._drop_expired_in_flight(now_ms)
         for work in self._scheduler.expire(now_ms):
             self._expire(work, now_ms)
@@ -293,28 +305,6 @@
     def _is_busy(self) -> bool:
         return any(connection.execution is not None for connection in self.pool)
 
-    def _wait_for_position(self, request: HomeRequest, now_ms: int) -> bool:
-        view = self._positions.view(self.database.name, self.member.name)
-        if request.required is None or view is None or is_write(request.request):
-            return False
-        if view.position.has_reached(request.required):
-            return False
-        wait_ms = estimate_catch_up_ms(view, request.required, now_ms)
-        if wait_ms is None or request.attempts > 0 or now_ms + wait_ms >= request.deadline_ms:
-            return False
-        request.attempts += 1
-        self._parked.append((now_ms + max(wait_ms, 1), request))
-        self._outbox.wake_at(now_ms + max(wait_ms, 1))
-        return True
-
-    def _resume_parked(self, now_ms: int) -> None:
-        due = [request for at_ms, request in self._parked if at_ms <= now_ms]
-        if not due:
-            return
-        self._parked = [(at_ms, request) for at_ms, request in self._parked if at_ms > now_ms]
-        for request in due:
-            self._enqueue(request, now_ms)
-
     def _accept_in_transaction(self, request: HomeRequest, now_ms: int) -> None:
         transaction_id = request.request.transaction or ""
         connection = self.transactions.find_connection(transaction_id, request.request.account)
@@ -350,7 +340,13 @@
         *,
         in_scheduler: bool,
     ) -> None:
-        assert connection.execution is None, "a connection with an answer outstanding was reused"
+        if not self._rules.require(
+            connection.execution is None and connection.transaction == request.request.transaction,
+            "a connection serves one statement, of its own transaction, at a time",
+            connection=connection.connection_id,
+        ):
+            self._reply(request, HomeReply(status=ForwardStatus.NOT_HOME), now_ms)
+            return
         if not self._is_busy():
             self._answered_ms = now_ms
         message = self._build_execute(request.request, request.required)
@@ -388,13 +384,7 @@
             self._handle_done(execution, answer, now_ms)
             return
         if answer.status is ExecuteStatus.BEHIND:
-            self._reply(
-                request,
-                HomeReply(
-                    status=ForwardStatus.BEHIND, position=answer.position, lag_ms=answer.lag_ms
-                ),
-                now_ms,
-            )
+            self._reply_behind(request, answer, now_ms)
             return
         if answer.status in (ExecuteStatus.WRONG_TERM, ExecuteStatus.NOT_PRIMARY):
             self._reply_not_primary(request, now_ms)
@@ -409,13 +399,7 @@
     def _handle_done(self, execution: Execution, answer: ExecuteAnswer, now_ms: int) -> None:
         request = execution.home_request
         if request.max_lag_ms is not None and not self._is_fresh(answer, request.max_lag_ms):
-            self._reply(
-                request,
-                HomeReply(
-                    status=ForwardStatus.BEHIND, position=answer.position, lag_ms=answer.lag_ms
-                ),
-                now_ms,
-            )
+            self._reply_behind(request, answer, now_ms)
             return
         if not needs_settlement(request.request):
             self._reply_done(execution, answer, now_ms)
@@ -545,6 +529,12 @@
         )
         self._reply_answer(request, answer, now_ms)
 
+    def _reply_behind(self, request: HomeRequest, answer: ExecuteAnswer, now_ms: int) -> None:
+        reply = HomeReply(
+            status=ForwardStatus.BEHIND, position=answer.position, lag_ms=answer.lag_ms
+        )
+        self._reply(request, reply, now_ms)
+
     def _reply_not_primary(self, request: HomeRequest, now_ms: int) -> None:
         self._reply(
             request, HomeReply(status=ForwardStatus.NOT_PRIMARY, record=self.record), now_ms
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -61,6 +61,7 @@
 from burdockrun_proxy.homes import MemberHomes
 from burdockrun_proxy.models import HomeReply, HomeRequest
 from burdockrun_proxy.policies import DEFAULT_POLICIES, Policies
+from burdockrun_proxy.rules import Rules
 from burdockrun_proxy.settlement import Settlement
 from burdockrun_proxy.status import NodeStatus, build_status
 
@@ -76,7 +77,7 @@
 
     `handle` takes an event with the time in ms and returns the actions to carry out. All
     randomness comes from `rng`. `wall_offset_ms` added to a time gives the time since the Unix
-    epoch, for the audit trail.
+    epoch, for the audit trail. With `strict`, a broken rule of the program raises `RuleBrokenError`.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         account_limit: int = MAX_ACCOUNT_IN_FLIGHT,
         policies: Policies = DEFAULT_POLICIES,
         wall_offset_ms: int = 0,
+        strict: bool = False,
     ) -> None:
         self.info = node
         self._rng = rng
@@ -97,6 +99,7 @@
         self._outbox = Outbox()
         # A random start keeps ids of an earlier process with the same name from matching.
         self._ids = count(rng.getrandbits(ID_BITS))
+        self._rules = Rules(self._outbox, strict=strict)
         self._positions = PositionTable()
         self._probe_budget = ProbeBudget()
         self._records: dict[str, GroupRecord] = {}
@@ -295,6 +298,13 @@
         return True
 
     def _apply_configuration(self, configuration: Configuration, now_ms: int) -> None:
+        if not self._rules.require(
+            configuration.number >= self._configuration.number,
+            "the ticket in force never goes back",
+            known=self._configuration.number,
+            new=configuration.number,
+        ):
+            return
         self._configuration = configuration
         self._entry.configuration = configuration
         for name, supervisor in self._supervisors.items():
@@ -317,6 +327,7 @@
             acknowledger=self._acknowledger,
             settlement=self._settlement,
             freshness=self._freshness,
+            rules=self._rules,
             scheduler=self._policies.scheduler(service, database),
             on_life=partial(self._note_life, database.name),
         )
--- a/libs/proxy/burdockrun_proxy/pool.py
+++ b/libs/proxy/burdockrun_proxy/pool.py
@@ -59,6 +59,10 @@
             else:
                 connection.close_when_idle = True
 
+    def count_opening(self) -> int:
+        """Return how many connections are being opened."""
+        return sum(1 for connection in self if connection.state is ConnectionState.OPENING)
+
     def resize(self, budget: int, now_ms: int) -> None:
         """Open or close connections towards the budget; busy ones close when they are done."""
         # One attempt at a time after a failure, so that an endpoint that is down sees few of them.
--- a/tests/proxy/common.py
+++ b/tests/proxy/common.py
@@ -27,6 +27,7 @@
         ticket_format=TICKET_FORMAT,
         rng=rng,
         policies=policies,
+        strict=True,
     )
 
 
--- a/tests/proxy/test_home.py
+++ b/tests/proxy/test_home.py
@@ -2,6 +2,7 @@
 
 from itertools import count
 
+import pytest
 from burdockrun_failover import Acknowledger
 from burdockrun_messages import (
     Access,
@@ -21,6 +22,7 @@
 from burdockrun_proxy.models import HomeReply, HomeRequest
 from burdockrun_proxy.policies import build_rank_scheduler
 from burdockrun_proxy.pool import ConnectionPool
+from burdockrun_proxy.rules import RuleBrokenError, Rules
 from burdockrun_proxy.settlement import Settlement
 from burdockrun_routing import PositionTable
 
@@ -45,6 +47,7 @@
         acknowledger=acknowledger,
         settlement=Settlement(outbox, acknowledger, lambda _: None),
         freshness=FreshnessCheck(outbox),
+        rules=Rules(outbox, strict=True),
         scheduler=build_rank_scheduler(SERVICE, DATABASE),
         on_life=lambda member, now_ms: None,
     )
@@ -126,3 +129,15 @@
     assert outbox.drain() == []
     pool.resize(1, 1_000 + LINGER_MS)
     assert [type(action) for action in outbox.drain()] == [OpenConnection]
+
+
+def test_reuse_of_a_busy_connection_breaks_a_rule() -> None:
+    """Guards against a rule that is no longer checked: statements never share a connection."""
+    outbox = Outbox()
+    home = make_home(outbox, MEMBER.name)
+    ask(home, Access.WRITE)
+    for connection in home.pool:
+        home.pool.give_back(connection)
+        connection.transaction = "vm1/other/1"
+    with pytest.raises(RuleBrokenError):
+        ask(home, Access.WRITE)
