--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -77,7 +77,7 @@
 
     `handle` takes an event with the time in ms and returns the actions to carry out. All
     randomness comes from `rng`. `wall_offset_ms` added to a time gives the time since the Unix
-    epoch, for the audit trail. With `strict`, a broken rule of the program raises `RuleBrokenError`.
+    epoch, for the audit trail. With `strict`, a broken rule raises `RuleBrokenError`.
     """
 
     def __init__(
