--- a/libs/proxy/burdockrun_proxy/entry.py
+++ b/libs/proxy/burdockrun_proxy/entry.py
@@ -325,7 +325,7 @@
         return on_reply
 
     def _take_reply(self, pending: Pending, attempt: int, reply: HomeReply, now_ms: int) -> None:
-        member, pending.node = pending.member or "", None
+        member, node, pending.node = pending.member or "", pending.node, None
         if reply.position is not None:
             self._positions.observe(
                 pending.request.database, member, reply.position, reply.lag_ms, now_ms
@@ -339,6 +339,14 @@
             pending.avoid.add(member)
             self._route(pending, now_ms)
             return
+        if (
+            reply.status is ForwardStatus.NOT_HOME
+            and node is not None
+            and node not in pending.avoid
+        ):
+            pending.avoid.add(node)
+            self._route(pending, now_ms)
+            return
         if reply.status is ForwardStatus.UNREACHABLE:
             self._positions.note_failure(pending.request.database, member, now_ms)
             if not is_write(pending.request) and member not in pending.avoid:
--- a/libs/proxy/burdockrun_proxy/homes.py
+++ b/libs/proxy/burdockrun_proxy/homes.py
@@ -10,6 +10,7 @@
     Service,
 )
 
+from burdockrun_proxy.const import LINGER_MS
 from burdockrun_proxy.home import MemberHome
 from burdockrun_proxy.placement import Placement
 
@@ -32,6 +33,11 @@
         self._is_leaving = is_leaving
         self._homes: dict[str, MemberHome] = {}
         self._members: dict[str, tuple[Service, Database, Member]] = {}
+        self._not_before_ms = 0
+
+    def start(self, now_ms: int) -> None:
+        """Open nothing until endpoints have dropped what an earlier process of this name held."""
+        self._not_before_ms = now_ms + LINGER_MS
 
     def __iter__(self) -> Iterator[MemberHome]:
         return iter(tuple(self._homes.values()))
@@ -82,6 +88,8 @@
 
     def resize(self, now_ms: int) -> None:
         """Take up and give up roles so that each home holds its connection budget."""
+        if now_ms < self._not_before_ms:
+            return
         roles = self._placement.list_role_members()
         for name in roles:
             if name in self._members:
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -164,6 +164,7 @@
 
     @_handlers.register("Started")
     def _start(self, event: Started, now_ms: int) -> None:
+        self._homes.start(now_ms)
         self.fleet.start(now_ms)
 
     @_handlers.register("RequestReceived")
--- a/tests/proxy/test_node.py
+++ b/tests/proxy/test_node.py
@@ -170,3 +170,19 @@
             answers.append((statement, answer.outcome, answer.result))
         results.append(answers)
     assert results[0] == results[1]
+
+
+def test_restarted_home_opens_nothing_before_its_old_connections_are_gone() -> None:
+    """Guards against a connection limit exceeded by a process that replaces one of its name."""
+    bayern = Bayern()
+    place_primary(bayern, "nbg")
+    home = bayern.find_home(find_primary(bayern))
+    other = next(h for h in bayern.cluster.nodes if h.info.domain == "rgb")
+    bayern.cluster.stop_node(home)
+    seeds = [host.info for host in bayern.cluster.nodes]
+
+    def restart() -> None:
+        bayern.cluster.start_node(home.info, seeds)
+
+    bayern.cluster.loop.after(200, restart)
+    assert measure_writes(bayern, other, 8_000) <= 1_000
