Remove state and a method that nothing reads

Cause: a read of the whole change found that a home kept its service without using it and that count_pinned has no caller. Change: both are gone; behaviour stays.

--- a/libs/proxy/burdockrun_proxy/home.py
+++ b/libs/proxy/burdockrun_proxy/home.py
@@ -69,7 +69,6 @@
     def __init__(
         self,
         *,
-        service: Service,
         database: Database,
         member: Member,
         node: str,
@@ -86,7 +85,6 @@
         self.database = database
         self.member = member
         self.record: GroupRecord | None = None
-        self._service = service
         self._outbox = outbox
         self._ids = ids
         self._positions = positions
@@ -122,7 +120,6 @@
 
     def configure(self, service: Service, database: Database, member: Member, now_ms: int) -> None:
         """Take over a new configuration of the member and its work ranks."""
-        self._service = service
         self.database = database
         self.member = member
         self.pool.move(member)
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -318,7 +318,6 @@
 
     def _build_home(self, service: Service, database: Database, member: Member) -> MemberHome:
         return MemberHome(
-            service=service,
             database=database,
             member=member,
             node=self.info.node,
--- a/libs/proxy/burdockrun_proxy/pool.py
+++ b/libs/proxy/burdockrun_proxy/pool.py
@@ -44,10 +44,6 @@
         """Return whether a connection is free."""
         return bool(self._idle)
 
-    def count_pinned(self) -> int:
-        """Return how many connections belong to transactions."""
-        return sum(1 for connection in self if connection.transaction is not None)
-
     def move(self, member: Member) -> None:
         """Take over a new configuration of the member; another address closes all connections."""
         old, self.member = self.member, member
--- a/tests/proxy/test_home.py
+++ b/tests/proxy/test_home.py
@@ -37,7 +37,6 @@
     ids = count(1)
     acknowledger = Acknowledger(outbox)
     home = MemberHome(
-        service=SERVICE,
         database=DATABASE,
         member=MEMBER,
         node="vm1",
