Leave room for a restart of all nodes and send clients away from isolated ones

Ruled out: slow starts; nodes were up 0.9 s after the power returned. Change: half of a member's limit is kept free, connections beyond it end after 400 ms; sessions are closed on drain only when quiet; a node without store and other domains is not ready.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -31,14 +31,17 @@
 
 CONNECT_TIMEOUT_MS: Final = 600
 RECONNECT_DELAY_MS: Final = 100
-CONNECTION_LIMIT_DELAY_MS: Final = 500
+CONNECTION_LIMIT_DELAY_MS: Final = 250
 SILENCE_MS: Final = 600
 PROBE_INTERVAL_MS: Final = 300
 REPORT_INTERVAL_MS: Final = 500
 # Members are asked for reports when the store has not confirmed the record for so long.
 CONFIRMATION_OVERDUE_MS: Final = 2 * OWN_WATCH_MS + 60
 STATUS_TIMEOUT_MS: Final = 500
-IDLE_LINK_MS: Final = 4_000
+IDLE_LINK_MS: Final = 400
+# Members keep the connections of lost machines for three seconds; meanwhile nodes take only what
+# they need, so that each of them finds a connection after a restart of all.
+RESTRAINED_MS: Final = 4_000
 TICK_MS: Final = 50
 
 # Wait for a connection before a request is refused, as a share of its route's target.
@@ -63,8 +66,15 @@
 CATCH_UP_TIMEOUT_MS: Final = 500
 PROMOTION_RETRY_MS: Final = 300
 
-DRAIN_READY_MS: Final = 2_200
+# The platform sends no new clients after two missed probes, one second apart.
+DRAIN_READY_MS: Final = 2_000
+DRAIN_HURRY_MS: Final = 3_200
 DRAIN_LIMIT_MS: Final = 5_000
+# A client that has been quiet for so long is not about to send a request.
+QUIET_CLIENT_MS: Final = 100
+QUIET_CLIENT_HURRY_MS: Final = 20
+# Without the store and all members of other domains for so long, this node serves nobody.
+ISOLATED_MS: Final = 1_000
 
 GATEWAY_STARTED = define_event(
     1301, "gateway_started", Level.INFO, "The gateway accepts connections."
@@ -117,3 +127,9 @@
 LINK_LOST = define_event(
     1319, "link_lost", Level.INFO, "A connection to a member has ended or could not be opened."
 )
+ISOLATED = define_event(
+    1320, "gateway_isolated", Level.WARNING, "This node reaches neither store nor other domains."
+)
+ISOLATION_ENDED = define_event(
+    1321, "gateway_isolation_ended", Level.INFO, "This node reaches other domains or the store."
+)
--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -199,7 +199,12 @@
         for service, limits in self.configuration.services.items():
             group = self.groups.get(service)
             if group is not None:
-                group.set_quota(max(1, (limits.max_connections - 1) // nodes))
+                group.set_quota(
+                    max(1, (limits.max_connections - 1) // nodes),
+                    # Half of the limit stays free for nodes that restart all at once, since
+                    # members keep the connections of lost machines for seconds.
+                    warm=max(1, limits.max_connections // 2 // nodes),
+                )
 
     def _handle_own(self, items: list[Item]) -> None:
         for item in items:
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -11,11 +11,17 @@
 from result import Err, Ok, Result
 
 from burdockrun_gateway.const import (
+    DRAIN_HURRY_MS,
     DRAIN_LIMIT_MS,
     DRAIN_READY_MS,
     GATEWAY_DRAINING,
     GATEWAY_STARTED,
     GATEWAY_STOPPED,
+    ISOLATED,
+    ISOLATED_MS,
+    ISOLATION_ENDED,
+    QUIET_CLIENT_HURRY_MS,
+    QUIET_CLIENT_MS,
     TICK_MS,
 )
 from burdockrun_gateway.directory import Directory
@@ -25,8 +31,6 @@
 from burdockrun_gateway.reports import Reports
 from burdockrun_gateway.supervisor import Supervisor
 
-WARM_CONNECTIONS = 2
-
 
 class ClientChannel(Protocol):
     """Connection of a client."""
@@ -63,6 +67,7 @@
         self._duty = Duty(app, store, self.directory, entry.node, rng)
         self._supervisor = Supervisor(app, store, self.directory, self._duty, orders)
         self._reports = Reports(store, self.directory, entry.node)
+        self._isolated_ms: int | None = None
         self._channels: set[ClientChannel] = set()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -79,7 +84,7 @@
 
     def is_ready(self) -> bool:
         """Return whether new clients should come here."""
-        if self.draining or not self.directory.is_loaded():
+        if self.draining or self._isolated_ms is not None or not self.directory.is_loaded():
             return False
         groups = self.directory.groups.values()
         return any(pool.is_usable() for group in groups for pool in group.pools.values())
@@ -103,11 +108,6 @@
         self._channels.discard(channel)
         channel.relay.close()
 
-    def close_if_draining(self, channel: ClientChannel) -> None:
-        """End a session that has just got an answer, while its client is not sending."""
-        if self.draining and channel.relay.state is TransactionState.IDLE:
-            channel.close()
-
     async def async_drain(self) -> None:
         """Take no new clients, finish what is in flight, and end idle sessions."""
         started_ms = self._app.clock.now_ms()
@@ -118,8 +118,10 @@
             elapsed_ms = self._app.clock.now_ms() - started_ms
             if elapsed_ms >= DRAIN_LIMIT_MS:
                 break
-            if elapsed_ms >= DRAIN_READY_MS:
-                self._close_idle()
+            if elapsed_ms >= DRAIN_HURRY_MS:
+                self._close_quiet(QUIET_CLIENT_HURRY_MS)
+            elif elapsed_ms >= DRAIN_READY_MS:
+                self._close_quiet(QUIET_CLIENT_MS)
             await asyncio.sleep(TICK_MS / 1000)
         await self._registration.async_release()
 
@@ -132,19 +134,43 @@
         self.directory.close()
         self._app.events.write(GATEWAY_STOPPED, node=self._entry.node)
 
-    def _close_idle(self) -> None:
+    def _close_quiet(self, quiet_ms: int) -> None:
+        """Close sessions that have neither a request nor a transaction, so that they move."""
+        now_ms = self._app.clock.now_ms()
         for channel in list(self._channels):
-            if not channel.is_busy() and channel.relay.state is TransactionState.IDLE:
+            relay = channel.relay
+            quiet = now_ms - relay.used_ms >= quiet_ms and relay.state is TransactionState.IDLE
+            if quiet and not channel.is_busy():
                 channel.close()
 
+    def _note_isolation(self, now_ms: int) -> None:
+        """Send the clients elsewhere while this node reaches neither store nor other domains."""
+        heard_ms = [
+            pool.heard_ms
+            for group in self.directory.groups.values()
+            for pool in group.pools.values()
+            if pool.entry.domain != self._entry.domain
+        ]
+        heard_ms.append(self.directory.own.confirmed_ms or 0)
+        if now_ms - max(heard_ms) < ISOLATED_MS:
+            if self._isolated_ms is not None:
+                self._app.events.write(ISOLATION_ENDED, node=self._entry.node)
+            self._isolated_ms = None
+            return
+        if self._isolated_ms is None:
+            self._isolated_ms = now_ms
+            self._app.events.write(ISOLATED, node=self._entry.node, sessions=len(self._channels))
+        if now_ms - self._isolated_ms >= DRAIN_READY_MS:
+            self._close_quiet(QUIET_CLIENT_HURRY_MS)
+
     async def _async_tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_MS / 1000)
             now_ms = self._app.clock.now_ms()
             for group in self.directory.groups.values():
-                for pool in group.pools.values():
-                    pool.warm = min(pool.quota, WARM_CONNECTIONS)
                 group.tick()
+            if self.directory.is_loaded():
+                self._note_isolation(now_ms)
             for channel in self._channels:
                 if not channel.is_busy():
                     channel.relay.expire_transaction(now_ms)
--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -41,6 +41,7 @@
         self._domain = domain
         self._connector = connector
         self._quota = 1
+        self._warm = 1
         self._tasks: set[asyncio.Task[None]] = set()
         self._asked_ms: dict[str, int] = {}
 
@@ -66,11 +67,11 @@
             )
         self._notify()
 
-    def set_quota(self, quota: int) -> None:
-        """Limit the connections to each member."""
-        self._quota = quota
+    def set_quota(self, quota: int, warm: int) -> None:
+        """Limit the connections to each member, and those that are kept without work."""
+        self._quota, self._warm = quota, warm
         for pool in self.pools.values():
-            pool.quota = quota
+            pool.quota, pool.warm = quota, warm
 
     def set_record(self, record: GroupRecord) -> None:
         """Learn the agreed primary."""
@@ -194,7 +195,7 @@
             self._handle_position,
             same_domain=entry.domain == self._domain,
         )
-        pool.quota = self._quota
+        pool.quota, pool.warm = self._quota, self._warm
         return pool
 
     def _handle_position(self, pool: MemberPool, position: LogPosition, sent_ms: int) -> None:
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -26,6 +26,7 @@
     LINK_LOST,
     OTHER_DOMAIN_MS,
     RECONNECT_DELAY_MS,
+    RESTRAINED_MS,
     SILENCE_MS,
     STATUS_TIMEOUT_MS,
 )
@@ -67,6 +68,7 @@
         self._idle: list[MemberLink] = []
         self._opening = 0
         self._open_after_ms = 0
+        self._restrained_until_ms = app.clock.now_ms() + RESTRAINED_MS
         self._waiters: list[tuple[int, int, asyncio.Future[MemberLink | None]]] = []
         self._order = count()
         self._estimate_ms = DEFAULT_MEMBER_MS + (0.0 if same_domain else OTHER_DOMAIN_MS)
@@ -82,7 +84,7 @@
 
     def expected_wait_ms(self) -> float:
         """Return the time that a new request is likely to wait for a connection."""
-        if self._idle or len(self._links) + self._opening < self.quota:
+        if self._idle or len(self._links) + self._opening < self._allowed():
             return 0.0
         return self._estimate_ms * (len(self._waiters) + 0.5) / max(1, len(self._links))
 
@@ -199,7 +201,7 @@
             link = self._idle.pop(0)
             link.close()
             self._drop(link)
-        if len(self._links) + self._opening < min(self.warm, self.quota):
+        if len(self._links) + self._opening < self.warm:
             self._open_more()
 
     def trim(self) -> None:
@@ -242,8 +244,13 @@
         if link in self._idle:
             self._idle.remove(link)
 
+    def _allowed(self) -> int:
+        """Return how many connections this node may have now."""
+        restrained = self._app.clock.now_ms() < self._restrained_until_ms
+        return min(self.warm, self.quota) if restrained else self.quota
+
     def _open_more(self) -> None:
-        if len(self._links) + self._opening >= self.quota or self.closed:
+        if len(self._links) + self._opening >= self._allowed() or self.closed:
             return
         self._opening += 1
         task = asyncio.get_running_loop().create_task(self._async_open())
@@ -286,6 +293,7 @@
         if fault is ConnectFault.LIMIT:
             self.heard_ms = now_ms
             self._open_after_ms = now_ms + CONNECTION_LIMIT_DELAY_MS
+            self._restrained_until_ms = now_ms + RESTRAINED_MS
         else:
             self.fault = fault
             self._open_after_ms = now_ms + RECONNECT_DELAY_MS
