Grant the use of a primary by a majority of members while the store is away

Ruled out: peers as witnesses; a node that is not known may order a promotion. Change: a majority with the primary among them suffices, and a promotion holds a majority for a term that the agreed record names before it waits.

--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -123,6 +123,7 @@
         if reason is Reason.DRAINING:
             record = await self._async_announce(group, record)
         if record.primary:
+            term = await self._async_newest_term(group, record) + 1
             record = await self._async_write(
                 group,
                 GroupRecord(
@@ -130,17 +131,17 @@
                     primary="",
                     epoch=record.epoch + 1,
                     previous=record.primary,
-                    held_term=record.held_term,
+                    held_term=max(term, record.held_term),
                     promoted=False,
                 ),
             )
-        started_ms = self._app.clock.now_ms()
         final = await self._async_stop_previous(group, record)
-        statuses = await self._async_hold_replicas(group, record, hold=final is None)
-        if final is None and not self._is_dead(group, record.previous):
-            await self._async_wait_stopped(group, record, started_ms)
-            statuses = await self._async_statuses(group, record.previous) or statuses
-        if final is not None:
+        if final is None:
+            statuses = await self._async_hold_majority(group, record)
+            if not self._is_dead(group, record.previous):
+                await self._async_wait_stopped(group, record, self._app.clock.now_ms())
+                statuses = await self._async_statuses(group, record.previous) or statuses
+        else:
             statuses = await self._async_catch_up(group, record.previous, final)
         if not statuses and final is not None:
             previous = group.pools.get(record.previous)
@@ -156,7 +157,7 @@
                 primary=successor,
                 epoch=record.epoch + 1,
                 previous=record.previous,
-                held_term=max((status.term for status in statuses.values()), default=0) + 1,
+                held_term=record.held_term,
                 promoted=False,
             ),
         )
@@ -212,24 +213,34 @@
         status = asked[0]
         if status.is_primary:
             stopped = await pool.async_status(
-                Statement(kind=StatementKind.STEP_DOWN, term=status.term + 1)
+                Statement(kind=StatementKind.STEP_DOWN, term=max(record.held_term, status.term + 1))
             )
             if stopped is None or stopped[0].is_primary:
                 return None
             status = stopped[0]
+        elif status.held_term < record.held_term and status.term < record.held_term:
+            return None
         return status.received
 
-    async def _async_hold_replicas(
-        self, group: Group, record: GroupRecord, *, hold: bool
+    async def _async_newest_term(self, group: Group, record: GroupRecord) -> int:
+        """Return the newest term that this node knows of or that a replica knows."""
+        known = group.watermarks.newest()
+        statuses = await self._async_statuses(group, record.primary)
+        terms = [max(status.term, status.held_term) for status in statuses.values()]
+        return max([*terms, known.term if known is not None else 0, record.held_term])
+
+    async def _async_hold_majority(
+        self, group: Group, record: GroupRecord
     ) -> dict[str, MemberStatus]:
-        """Ask all replicas for their positions, and keep them from receiving more."""
-        statuses = await self._async_statuses(group, record.previous)
-        if not hold or not statuses:
-            return statuses
-        term = max(status.term for status in statuses.values()) + 1
-        return await self._async_ask(
-            group, record.previous, Statement(kind=StatementKind.PAUSE, term=term)
+        """Keep the replicas from receiving more; nodes without the store ask a majority of them."""
+        statuses = await self._async_ask(
+            group,
+            record.previous,
+            Statement(kind=StatementKind.PAUSE, term=record.held_term),
         )
+        if 2 * len(statuses) <= len(group.authority.members):
+            raise _Abandoned("no majority of the members can be held")
+        return statuses
 
     async def _async_statuses(self, group: Group, avoid: str) -> dict[str, MemberStatus]:
         return await self._async_ask(group, avoid, Statement(kind=StatementKind.STATUS))
--- a/libs/groups/burdockrun_groups/authority.py
+++ b/libs/groups/burdockrun_groups/authority.py
@@ -1,9 +1,9 @@
 """Whether this node may act on a member as the primary of its group.
 
 A node holds a grant in one of two ways. It has read the agreed record within the last `GRANT_MS`;
-a promotion starts only after the record has named no primary for longer than that. Or all known
-members have said within that time that none of them is held for a new term or leads a later one;
-a promotion holds the replicas back before it waits.
+a promotion starts only after the record has named no primary for longer than that. Or a majority
+of the known members, the primary among them, have said within that time that none of them is held
+for a new term or leads a later one; a promotion holds a majority for a new term before it waits.
 """
 
 from dataclasses import dataclass, field
@@ -83,21 +83,22 @@
         return f"{primary}@{self.reports[primary].status.term}"
 
     def _primary_by_reports(self, now_ms: int) -> str:
-        """Return the only member that can lead by what all members said lately."""
-        if not self.members:
+        """Return the only member that can lead by what a majority said lately."""
+        fresh = {
+            member_id: report.status
+            for member_id, report in self.reports.items()
+            if now_ms < report.sent_ms + GRANT_MS
+        }
+        if 2 * len(fresh) <= len(self.members):
             return ""
-        fresh: dict[str, MemberStatus] = {}
-        for member_id in self.members:
-            report = self.reports.get(member_id)
-            if report is None or now_ms >= report.sent_ms + GRANT_MS:
-                return ""
-            fresh[member_id] = report.status
         leaders = [
             (status.term, member_id) for member_id, status in fresh.items() if status.is_primary
         ]
         if not leaders:
             return ""
         term, leader = max(leaders)
+        if self.record is not None and term < self.record.held_term:
+            return ""
         if any(max(status.held_term, status.term) > term for status in fresh.values()):
             return ""
         return leader
