Read a new primary only once it has applied what it had received

Ruled out: two primaries; the old one was held and no commit was rolled back. Change: the agreed record says what the chosen member had received; it is read, and counts for what replicas must have, only from there on.

--- a/libs/gateway/burdockrun_gateway/__init__.py
+++ b/libs/gateway/burdockrun_gateway/__init__.py
@@ -2,8 +2,8 @@
 
 from burdockrun_gateway.gateway import Gateway
 from burdockrun_gateway.ports import (
-    Connection,
     ConnectFault,
+    Connection,
     Documents,
     Item,
     Listing,
--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -45,8 +45,8 @@
         store: SharedStore,
         documents: Documents,
         connector: MemberConnector,
-        domain: str,
-        node: str,
+        entry: NodeEntry,
+        *,
         rng: Random,
     ) -> None:
         self.configuration = Configuration()
@@ -57,9 +57,9 @@
         self._app = app
         self._documents = documents
         self._connector = connector
-        self._domain = domain
+        self._domain = entry.domain
         self._members: dict[str, MemberEntry] = {}
-        self._node_key = NODES_PREFIX + node
+        self._node_key = NODES_PREFIX + entry.node
         self._node_left_ms = app.clock.now_ms()
 
         def build(prefix: str, wait_ms: int, pause_ms: int) -> Mirror:
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -56,13 +56,14 @@
         store: SharedStore,
         documents: Documents,
         connector: MemberConnector,
+        *,
         orders: PromotionDuty,
         rng: Random,
     ) -> None:
         self.draining = False
         self._app = app
         self._entry = entry
-        self.directory = Directory(app, store, documents, connector, entry.domain, entry.node, rng)
+        self.directory = Directory(app, store, documents, connector, entry, rng=rng)
         self._registration = Registration(app, store, self.directory, entry)
         self._duty = Duty(app, store, self.directory, entry.node, rng)
         self._supervisor = Supervisor(app, store, self.directory, self._duty, orders)
--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -107,13 +107,20 @@
     def required_position(
         self, started_ms: int, max_staleness_ms: int, commit: LogPosition | None, epoch: str
     ) -> LogPosition | None:
-        """Return what a replica must have applied for a read, or None when only the primary will do."""
+        """Return what a replica must have applied; None when only the primary will do."""
         required = self.watermarks.required(started_ms, max_staleness_ms)
         if required is None or commit is None:
             return required
         own = self.watermarks.required_for_commit(epoch, commit)
         return None if own is None else max(required, own)
 
+    def awaited_position(self, pool: MemberPool) -> LogPosition | None:
+        """Return what a new primary must still apply before it is read, None when it has."""
+        floor = self.authority.floor(pool.entry.id)
+        if floor is None or (pool.position is not None and pool.position.has_reached(floor)):
+            return None
+        return floor
+
     def read_options(self, excluded: set[str]) -> Iterator[ReadOption]:
         """Return the members that can serve reads now."""
         primary = self.authority.primary(self._app.clock.now_ms())
@@ -124,7 +131,7 @@
                 continue
             yield ReadOption(
                 member_id=member_id,
-                is_primary=member_id == primary,
+                is_primary=member_id == primary and self.awaited_position(pool) is None,
                 position=pool.position,
                 expected_ms=pool.expected_ms(),
             )
@@ -200,7 +207,8 @@
 
     def _handle_position(self, pool: MemberPool, position: LogPosition, sent_ms: int) -> None:
         now_ms = self._app.clock.now_ms()
-        if self.authority.primary(now_ms) == pool.entry.id:
+        floor = self.authority.floor(pool.entry.id)
+        if self.authority.primary(now_ms) == pool.entry.id and position.has_reached(floor):
             self.watermarks.add(self.authority.epoch(now_ms), sent_ms, position)
 
     def _notify(self) -> None:
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -190,9 +190,9 @@
             sent_ms = link.oldest_unanswered_ms()
             if sent_ms is None and link not in self._idle:
                 continue
-            if sent_ms is not None and now_ms - max(sent_ms, link.heard_ms) > 2 * SILENCE_MS:
-                if self.is_silent():
-                    self.discard(link)
+            silent_ms = now_ms - max(sent_ms, link.heard_ms) if sent_ms is not None else 0
+            if silent_ms > 2 * SILENCE_MS and self.is_silent():
+                self.discard(link)
         while (
             len(self._links) > self.warm
             and self._idle
--- a/libs/gateway/burdockrun_gateway/records.py
+++ b/libs/gateway/burdockrun_gateway/records.py
@@ -3,6 +3,7 @@
 import json
 from typing import Any
 
+from burdockrun_base import LogPosition
 from burdockrun_groups import GroupRecord, NodeEntry, Suspicion
 from result import Err, Ok, Result
 
@@ -17,6 +18,7 @@
             "held_term": record.held_term,
             "promoted": record.promoted,
             "ending": record.ending,
+            "floor": [record.floor.term, record.floor.index] if record.floor else None,
         }
     ).encode()
 
@@ -34,6 +36,7 @@
                 held_term=int(fields["held_term"]),
                 promoted=bool(fields["promoted"]),
                 ending=bool(fields["ending"]),
+                floor=_load_position(fields["floor"]),
             )
         )
     except (KeyError, TypeError, ValueError) as error:
@@ -87,6 +90,10 @@
         return Err(f"suspicion: {error!r}")
 
 
+def _load_position(fields: Any) -> LogPosition | None:
+    return LogPosition(term=int(fields[0]), index=int(fields[1])) if fields else None
+
+
 def _load(value: bytes) -> dict[str, Any]:
     try:
         fields = json.loads(value)
--- a/libs/gateway/burdockrun_gateway/relay.py
+++ b/libs/gateway/burdockrun_gateway/relay.py
@@ -1,7 +1,7 @@
 """Carries the statements of one client session to members and returns their answers."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final, Protocol
 
 from burdockrun_base import Application, LogPosition
@@ -88,7 +88,7 @@
     offered: bool = False
 
 
-class _Lost(Exception):
+class _LostError(Exception):
     """No whole answer came; the statement may have run."""
 
 
@@ -125,31 +125,34 @@
             self.state = FAILED
 
     async def _async_handle(self, statement: Statement, arrived_ms: int) -> Answer:
-        kind = statement.kind
         if self.state is FAILED:
             return self._handle_failed(statement)
-        if kind is StatementKind.BEGIN:
-            return self._begin(statement, arrived_ms)
-        if kind in ANSWERED_BY_ENTRY:
-            if self._session.apply(statement) is Applied.UNKNOWN_NAME:
-                return self._unknown_name(statement)
-            return Answer(state=self.state)
-        if kind is StatementKind.ROLLBACK:
-            if self._transaction is None:
-                return Answer(state=self.state, error=ErrorCode.MALFORMED, detail="no transaction")
-            self._end_transaction(request_id=statement.request_id)
-            return Answer(state=IDLE)
+        if statement.kind in ANSWERED_BY_ENTRY:
+            return self._handle_locally(statement, arrived_ms)
         shape = None
-        if kind is StatementKind.EXECUTE:
+        if statement.kind is StatementKind.EXECUTE:
             shape = self._session.prepared.get(statement.name)
             if shape is None:
                 return self._unknown_name(statement)
         if self._transaction is not None:
             return await self._async_in_transaction(self._transaction, statement, shape, arrived_ms)
-        if kind is StatementKind.COMMIT:
+        if statement.kind is StatementKind.COMMIT:
             return Answer(state=IDLE, error=ErrorCode.MALFORMED, detail="no transaction")
         return await self._async_single(statement, shape, arrived_ms)
 
+    def _handle_locally(self, statement: Statement, arrived_ms: int) -> Answer:
+        """Answer a statement that need not wait for a member."""
+        if statement.kind is StatementKind.BEGIN:
+            return self._begin(statement, arrived_ms)
+        if statement.kind is StatementKind.ROLLBACK:
+            if self._transaction is None:
+                return Answer(state=self.state, error=ErrorCode.MALFORMED, detail="no transaction")
+            self._end_transaction(statement.request_id)
+            return Answer(state=IDLE)
+        if self._session.apply(statement) is Applied.UNKNOWN_NAME:
+            return self._unknown_name(statement)
+        return Answer(state=self.state)
+
     def _unknown_name(self, statement: Statement) -> Answer:
         failed = self.state is OPEN
         if failed:
@@ -210,7 +213,7 @@
             pool, link = placed
             try:
                 answer = await self._async_exchange(attempt, pool, link, shape)
-            except _Lost:
+            except _LostError:
                 if writes:
                     return self._in_doubt(attempt, IDLE)
                 attempt.excluded.add(pool.entry.id)
@@ -249,7 +252,7 @@
     async def _async_acknowledge(
         self, attempt: _Attempt, pool: MemberPool, answer: Answer, state: TransactionState
     ) -> Answer:
-        """Return success for a write only while its member is known to have led when it answered."""
+        """Return success for a write only if its member is known to have led at its answer."""
         group = attempt.group
         answered_ms = self._app.clock.now_ms()
         if not group.is_primary(pool):
@@ -312,7 +315,7 @@
             pool, link = placed
             try:
                 answer = await self._async_exchange(attempt, pool, link, shape)
-            except _Lost:
+            except _LostError:
                 attempt.excluded.add(pool.entry.id)
                 continue
             if answer.error in {ErrorCode.BUSY, ErrorCode.LAGGING, ErrorCode.READ_ONLY}:
@@ -332,7 +335,7 @@
         assert transaction.link is not None and transaction.pool is not None
         try:
             answer = await self._async_exchange(attempt, transaction.pool, transaction.link, shape)
-        except _Lost:
+        except _LostError:
             transaction.link = None
             if attempt.statement.kind is StatementKind.COMMIT and transaction.wrote:
                 return self._in_doubt(attempt, IDLE)
@@ -461,25 +464,31 @@
     ) -> Answer:
         """Send what the statement needs and return its answer.
 
-        Raises _Lost when no whole answer came; the connection is closed then.
+        Raises _LostError when no whole answer came; the connection is closed then.
         """
         statements = plan_setup(link.state, self._session, shape)
         if attempt.begin is not None:
-            statements.append(attempt.begin)
-        if not self._may_combine(attempt):
+            awaited = attempt.group.awaited_position(pool)
+            statements.append(replace(attempt.begin, after=awaited))
+        if not self._may_combine(attempt, pool):
             begun = await self._async_send(attempt, pool, link, statements)
             if begun.error is not None or begun.state is not OPEN:
                 return begun
             statements = []
-        statements.append(self._build_statement(attempt, shape))
+        statements.append(self._build_statement(attempt, pool, shape))
         return await self._async_send(attempt, pool, link, statements)
 
-    def _may_combine(self, attempt: _Attempt) -> bool:
+    def _may_combine(self, attempt: _Attempt, pool: MemberPool) -> bool:
         """Return whether a statement may follow its BEGIN before that has been answered.
 
-        A member that has lost the lead refuses the BEGIN and would run a read outside of it.
+        A member that has lost the lead, or lags, refuses the BEGIN and would run a read outside
+        of it.
         """
-        if attempt.begin is None or attempt.begin.read_only or attempt.writes:
+        if attempt.begin is None or attempt.writes:
+            return True
+        if attempt.group.awaited_position(pool) is not None:
+            return False
+        if attempt.begin.read_only and not attempt.to_primary:
             return True
         return attempt.group.authority.is_steady(self._app.clock.now_ms())
 
@@ -493,7 +502,7 @@
         """Send statements in one write and return the answer to the last one."""
         now_ms = self._app.clock.now_ms()
         left_ms = attempt.route.timeout_ms - (now_ms - attempt.arrived_ms)
-        patience_ms = left_ms
+        patience_ms: float = left_ms
         if not attempt.writes and self._transaction is None:
             target_ms = READ_PATIENCE_SHARE * attempt.route.target_ms
             patience_ms = min(left_ms, max(target_ms, 4 * pool.expected_ms(), MIN_PATIENCE_MS))
@@ -503,11 +512,11 @@
                 answers = await asyncio.shield(link.send(statements))
         except LinkLostError:
             pool.discard(link)
-            raise _Lost from None
+            raise _LostError from None
         except TimeoutError:
             pool.discard(link)
             if patience_ms < left_ms:
-                raise _Lost from None
+                raise _LostError from None
             return self._time_out(attempt)
         pool.observe(self._app.clock.now_ms() - now_ms)
         for sent, answer in zip(statements[:-1], answers[:-1], strict=True):
@@ -518,11 +527,14 @@
             return _setup_failure(answer, answers[-1])
         return answers[-1]
 
-    def _build_statement(self, attempt: _Attempt, shape: PreparedShape | None) -> Statement:
+    def _build_statement(
+        self, attempt: _Attempt, pool: MemberPool, shape: PreparedShape | None
+    ) -> Statement:
         statement = attempt.statement
         after = None
-        if attempt.begin is None and not attempt.to_primary and self._transaction is None:
-            after = self._required(attempt)
+        if self._transaction is None and not attempt.writes:
+            after = None if attempt.to_primary else self._required(attempt)
+            after = after or attempt.group.awaited_position(pool)
         return Statement(
             kind=statement.kind,
             request_id=statement.request_id,
--- a/libs/gateway/burdockrun_gateway/reports.py
+++ b/libs/gateway/burdockrun_gateway/reports.py
@@ -39,13 +39,11 @@
 
     async def _async_report(self, service: str, group: Group) -> None:
         record = group.authority.record
-        if record is not None and not record.primary:
-            if record.epoch > self._acknowledged.get(service, 0):
-                write = Write(
-                    key=f"{ACKS_PREFIX}{service}/{self._node}", value=dump_ack(record.epoch)
-                )
-                if await self._async_commit([write]):
-                    self._acknowledged[service] = record.epoch
+        stopped = record.epoch if record is not None and not record.primary else 0
+        if stopped > self._acknowledged.get(service, 0):
+            key = f"{ACKS_PREFIX}{service}/{self._node}"
+            if await self._async_commit([Write(key=key, value=dump_ack(stopped))]):
+                self._acknowledged[service] = stopped
         suspected = group.suspected
         if suspected == self._suspected.get(service, ""):
             return
--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -34,7 +34,7 @@
 from burdockrun_gateway.records import dump_group
 
 
-class _Abandoned(Exception):
+class _AbandonedError(Exception):
     """A step failed; the change is taken up again from the record."""
 
 
@@ -93,7 +93,6 @@
                 members=group.authority.members,
                 suspecting_nodes=len(suspecting),
                 live_nodes=max(1, len(self._directory.nodes)),
-                own_link_lost=group.suspected == primary,
                 discovery_settled=self._directory.is_settled(),
             ),
         )
@@ -108,7 +107,7 @@
         )
         try:
             await self._async_steps(group, reason)
-        except _Abandoned as fault:
+        except _AbandonedError as fault:
             self._app.events.write(CHANGE_FAILED, service=group.service, step=str(fault))
             await asyncio.sleep(PROMOTION_RETRY_MS / 1000)
 
@@ -159,6 +158,7 @@
                 previous=record.previous,
                 held_term=record.held_term,
                 promoted=False,
+                floor=statuses[successor].received if successor in statuses else None,
             ),
         )
         await self._async_order(group, assigned)
@@ -174,6 +174,7 @@
                 previous=record.previous,
                 held_term=record.held_term,
                 ending=True,
+                floor=record.floor,
             ),
         )
         await asyncio.sleep((GRANT_MS + GRANT_MARGIN_MS) / 1000)
@@ -183,7 +184,7 @@
         """Agree on the primary that the members name."""
         primary = find_first_primary(group.authority.members.values())
         if not primary:
-            raise _Abandoned("no single primary to adopt")
+            raise _AbandonedError("no single primary to adopt")
         await self._async_write(group, GroupRecord(service=group.service, primary=primary, epoch=1))
 
     async def _async_fall_back(self, group: Group, record: GroupRecord) -> str:
@@ -191,7 +192,7 @@
         pool = group.pools.get(record.previous)
         if pool is not None and await pool.async_status() is not None:
             return record.previous
-        raise _Abandoned("no member answers")
+        raise _AbandonedError("no member answers")
 
     async def _async_wait_stopped(self, group: Group, record: GroupRecord, started_ms: int) -> None:
         """Wait until no node can still use the previous primary."""
@@ -203,7 +204,7 @@
             await asyncio.sleep(PROMOTION_POLL_MS / 1000)
 
     async def _async_stop_previous(self, group: Group, record: GroupRecord) -> LogPosition | None:
-        """Make the old primary a replica; return its last position, None if it cannot be reached."""
+        """Make the old primary a replica; return its last position, None if out of reach."""
         pool = group.pools.get(record.previous)
         if pool is None or not pool.is_usable():
             return None
@@ -239,7 +240,7 @@
             Statement(kind=StatementKind.PAUSE, term=record.held_term),
         )
         if 2 * len(statuses) <= len(group.authority.members):
-            raise _Abandoned("no majority of the members can be held")
+            raise _AbandonedError("no majority of the members can be held")
         return statuses
 
     async def _async_statuses(self, group: Group, avoid: str) -> dict[str, MemberStatus]:
@@ -276,7 +277,7 @@
         pool = group.pools.get(record.primary)
         if pool is None:
             await self._async_give_up(group, record)
-            raise _Abandoned("the successor is gone")
+            raise _AbandonedError("the successor is gone")
         ordered = False
         while self._app.clock.now_ms() < until_ms:
             if not ordered:
@@ -289,12 +290,12 @@
                 break
             await asyncio.sleep(PROMOTION_POLL_MS / 1000)
         await self._async_give_up(group, record)
-        raise _Abandoned("the successor does not lead")
+        raise _AbandonedError("the successor does not lead")
 
     async def _async_order_once(self, group: Group, record: GroupRecord) -> bool:
         while not self._duty.may_order():
             if not self._duty.is_held():
-                raise _Abandoned("the duty was lost")
+                raise _AbandonedError("the duty was lost")
             await asyncio.sleep(PROMOTION_POLL_MS / 1000)
         result = await self._orders.async_promote(
             group.service, record.primary, self._duty.node, self._duty.fence()
@@ -308,7 +309,7 @@
         )
         if isinstance(result, Err) and result.err_value is StoreFault.CONFLICT:
             await self._async_give_up(group, record)
-            raise _Abandoned("the successor does not run")
+            raise _AbandonedError("the successor does not run")
         return isinstance(result, Ok)
 
     async def _async_finish(self, group: Group, record: GroupRecord) -> None:
@@ -324,6 +325,7 @@
                 epoch=record.epoch,
                 previous=record.previous,
                 held_term=record.held_term,
+                floor=record.floor,
             ),
         )
 
@@ -344,13 +346,13 @@
     async def _async_write(self, group: Group, record: GroupRecord) -> GroupRecord:
         """Agree on a record, if nobody has changed it meanwhile."""
         if not self._duty.is_held():
-            raise _Abandoned("the duty was lost")
+            raise _AbandonedError("the duty was lost")
         key = GROUPS_PREFIX + group.service
         value = dump_group(record)
         revision = self._directory.group_revision(group.service)
         written = await self._store.async_commit({key: revision}, [Write(key=key, value=value)])
         if isinstance(written, Err):
-            raise _Abandoned(f"the record was not written: {written.err_value.value}")
+            raise _AbandonedError(f"the record was not written: {written.err_value.value}")
         self._directory.learn_record(record, written.ok_value, value)
         return record
 
--- a/libs/groups/burdockrun_groups/authority.py
+++ b/libs/groups/burdockrun_groups/authority.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass, field
 
+from burdockrun_base import LogPosition
 from burdockrun_statements import MemberStatus
 
 from burdockrun_groups.const import GRANT_MS
@@ -30,7 +31,7 @@
     reports: dict[str, _Report] = field(default_factory=dict)
 
     def confirm_record(self, record: GroupRecord | None, sent_ms: int) -> None:
-        """Note the agreed record as of a question sent at `sent_ms`; never go back to an older one."""
+        """Note the agreed record as of a question sent at `sent_ms`."""
         if record is not None and (self.record is None or record.epoch >= self.record.epoch):
             self.record = record
         self.record_sent_ms = max(self.record_sent_ms, sent_ms)
@@ -73,8 +74,13 @@
             and not record.ending
         )
 
+    def floor(self, member_id: str) -> LogPosition | None:
+        """Return what a member must have applied before it may be read as the primary."""
+        record = self.record
+        return record.floor if record is not None and record.primary == member_id else None
+
     def epoch(self, now_ms: int) -> str:
-        """Return a name for the time that the present primary leads; it changes with the primary."""
+        """Return a name for the time that the present primary leads."""
         primary = self.primary(now_ms)
         if not primary:
             return ""
--- a/libs/groups/burdockrun_groups/models.py
+++ b/libs/groups/burdockrun_groups/models.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from burdockrun_base import LogPosition
+
 
 class Freshness(Enum):
     """What a route demands of the data that it reads."""
@@ -68,7 +70,8 @@
 
     `epoch` grows with each change. `previous` is the primary before the change, `held_term` the
     term that replicas are held at for it. `promoted` says that the primary is known to lead,
-    `ending` that it will be stopped soon.
+    `ending` that it will be stopped soon. `floor` is what the primary had received when it was
+    chosen; it leads with that, but may have to apply it first.
     """
 
     service: str
@@ -78,6 +81,7 @@
     held_term: int = 0
     promoted: bool = True
     ending: bool = False
+    floor: LogPosition | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/libs/groups/burdockrun_groups/promotion.py
+++ b/libs/groups/burdockrun_groups/promotion.py
@@ -25,13 +25,12 @@
     """What the duty holder knows of a group.
 
     `discovery_settled` is false for some time after the store was away, when entries may be
-    missing. `own_link_lost` says that this node cannot reach the primary either.
+    missing.
     """
 
     members: Mapping[str, MemberEntry]
     suspecting_nodes: int
     live_nodes: int
-    own_link_lost: bool
     discovery_settled: bool
 
 
--- a/libs/messages/burdockrun_messages/__init__.py
+++ b/libs/messages/burdockrun_messages/__init__.py
@@ -1,5 +1,7 @@
 """Messages, events and actions that cross interfaces, and their JSON codecs."""
 
+from burdockrun_base import LogPosition
+
 from burdockrun_messages.actions import (
     Action,
     CallControl,
@@ -69,7 +71,6 @@
     Database,
     GroupRecord,
     JsonValue,
-    LogPosition,
     Member,
     NodeInfo,
     Rank,
--- a/libs/messages/burdockrun_messages/endpoints.py
+++ b/libs/messages/burdockrun_messages/endpoints.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from burdockrun_messages.const import Access, ExecuteStatus, MemberRole, TransactionStep
 from burdockrun_base import LogPosition
 
+from burdockrun_messages.const import Access, ExecuteStatus, MemberRole, TransactionStep
 from burdockrun_messages.models import JsonValue
 
 
--- a/libs/messages/burdockrun_messages/models.py
+++ b/libs/messages/burdockrun_messages/models.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass, field
 
 import pydantic
-from burdockrun_base import LogPosition
 
 from burdockrun_messages.const import AckRule, GroupState
 
--- a/libs/messages/burdockrun_messages/peers.py
+++ b/libs/messages/burdockrun_messages/peers.py
@@ -4,9 +4,8 @@
 from enum import StrEnum
 from typing import Annotated, Literal
 
-from pydantic import Field
-
 from burdockrun_base import LogPosition
+from pydantic import Field
 
 from burdockrun_messages.models import GroupRecord, NodeInfo
 from burdockrun_messages.requests import StatementAnswer, StatementRequest
--- a/libs/statements/burdockrun_statements/models.py
+++ b/libs/statements/burdockrun_statements/models.py
@@ -63,9 +63,15 @@
     }
 )
 
-# Statements that the entry answers itself, since they change nothing at a member.
+# Statements that the entry answers itself; a member learns of them with the next one.
 ANSWERED_BY_ENTRY = frozenset(
-    {StatementKind.BEGIN, StatementKind.SET, StatementKind.PREPARE, StatementKind.CLOSE}
+    {
+        StatementKind.BEGIN,
+        StatementKind.ROLLBACK,
+        StatementKind.SET,
+        StatementKind.PREPARE,
+        StatementKind.CLOSE,
+    }
 )
 
 
--- a/libs/statements/burdockrun_statements/session.py
+++ b/libs/statements/burdockrun_statements/session.py
@@ -36,9 +36,8 @@
             self.unsent[statement.name] = statement.request_id
         elif statement.kind is StatementKind.PREPARE and statement.shape is not None:
             self.prepared[statement.name] = statement.shape
-        elif statement.kind is StatementKind.CLOSE:
-            if self.prepared.pop(statement.name, None) is None:
-                return Applied.UNKNOWN_NAME
+        elif self.prepared.pop(statement.name, None) is None:
+            return Applied.UNKNOWN_NAME
         return Applied.DONE
 
 
--- a/script/events.py
+++ b/script/events.py
@@ -23,7 +23,7 @@
 
 `script/events` writes this page from the code and keeps the column "what to do"; `tests/test_events.py` holds the two
 equal. Numbers: settings 1xx, sessions 2xx, routing 3xx, admission 4xx, failover 5xx, fleet 6xx, platform 7xx, endpoint 8xx,
-proxy 9xx, control 10xx, load 11xx, bench 12xx.
+proxy 9xx, control 10xx, load 11xx, bench 12xx, gateway 13xx.
 
 | number | name | level | meaning | what to do |
 | --- | --- | --- | --- | --- |
--- /dev/null
+++ b/tests/groups/common.py
@@ -0,0 +1,42 @@
+"""Builders for the tests of database groups."""
+
+from burdockrun_base import LogPosition
+from burdockrun_groups import GroupRecord, MemberEntry
+from burdockrun_statements import MemberStatus
+
+
+def build_entry(
+    member_id: str, *, draining: bool = False, primary: bool = False, domain: str = "nbg"
+) -> MemberEntry:
+    """Return a discovery entry of the service `wendedb`."""
+    return MemberEntry(
+        id=member_id,
+        born_ms=1,
+        service="wendedb",
+        host="10.0.0.1",
+        port=9000,
+        domain=domain,
+        slots=2,
+        draining=draining,
+        says_primary=primary,
+    )
+
+
+def build_status(
+    term: int = 1, index: int = 10, *, primary: bool = False, held_term: int = 0
+) -> MemberStatus:
+    """Return what a member says of itself."""
+    return MemberStatus(
+        is_primary=primary,
+        term=term,
+        received=LogPosition(term=term, index=index),
+        held_term=held_term,
+        lag_ms=0,
+        busy=0,
+        connections=1,
+    )
+
+
+def build_record(primary: str, epoch: int = 1, **fields: object) -> GroupRecord:
+    """Return an agreed record of the service `wendedb`."""
+    return GroupRecord(service="wendedb", primary=primary, epoch=epoch, **fields)  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/groups/test_watermarks.py
@@ -0,0 +1,40 @@
+"""Tests of what a read must contain."""
+
+from burdockrun_base import LogPosition
+from burdockrun_groups import Watermarks
+
+
+def at(index: int, term: int = 1) -> LogPosition:
+    """Return a log position."""
+    return LogPosition(term=term, index=index)
+
+
+def test_the_oldest_position_within_the_accepted_age_is_required() -> None:
+    """Guards against reads at the primary that a replica could serve."""
+    marks = Watermarks()
+    for sent_ms, index in ((1_000, 10), (2_000, 20), (3_000, 30)):
+        marks.add("a/1", sent_ms, at(index))
+    assert marks.required(3_200, 1_500) == at(20)
+
+
+def test_nothing_recent_is_not_enough() -> None:
+    """Guards against a stale read when the primary has not been heard."""
+    marks = Watermarks()
+    marks.add("a/1", 1_000, at(10))
+    assert marks.required(3_000, 1_500) is None
+
+
+def test_positions_of_an_earlier_primary_are_dropped() -> None:
+    """Guards against reads that wait for ever for a position that was rolled back."""
+    marks = Watermarks()
+    marks.add("a/1", 1_000, at(50))
+    marks.add("b/3", 1_100, at(40, 2))
+    assert marks.required(1_200, 1_500) == at(40, 2)
+    assert marks.required_for_commit("a/1", at(50)) == at(40, 2)
+
+
+def test_a_commit_of_this_epoch_is_required_as_it_is() -> None:
+    """Guards against a session that does not read its own write."""
+    marks = Watermarks()
+    marks.add("a/1", 1_000, at(10))
+    assert marks.required_for_commit("a/1", at(12)) == at(12)
--- /dev/null
+++ b/tests/statements/test_session.py
@@ -0,0 +1,71 @@
+"""Tests of sessions on shared member connections."""
+
+from burdockrun_statements import (
+    Applied,
+    ConnectionState,
+    PreparedShape,
+    SessionState,
+    Statement,
+    StatementKind,
+    plan_setup,
+)
+
+
+def set_value(name: str, value: str, request_id: str = "q1") -> Statement:
+    """Return a SET of a client."""
+    return Statement(kind=StatementKind.SET, request_id=request_id, name=name, argument=value)
+
+
+def test_a_connection_with_values_of_another_session_is_reset() -> None:
+    """Guards against values that leak from one client to the next."""
+    connection = ConnectionState()
+    first, second = SessionState(), SessionState()
+    first.apply(set_value("zone", "a"))
+    plan_setup(connection, first, None)
+    second.apply(set_value("unit", "b"))
+    kinds = [statement.kind for statement in plan_setup(connection, second, None)]
+    assert kinds == [StatementKind.RESET, StatementKind.SET]
+    assert connection.values == {"unit": "b"}
+
+
+def test_a_connection_in_the_right_state_needs_nothing() -> None:
+    """Guards against statements that cost a round trip or bytes for no reason."""
+    connection = ConnectionState()
+    session = SessionState()
+    session.apply(set_value("zone", "a"))
+    plan_setup(connection, session, None)
+    assert plan_setup(connection, session, None) == []
+
+
+def test_names_of_two_clients_do_not_collide() -> None:
+    """Guards against a prepared name that runs another client's shape."""
+    connection = ConnectionState()
+    one = plan_setup(connection, SessionState(), PreparedShape(writes=False, shape="q1"))
+    other = plan_setup(connection, SessionState(), PreparedShape(writes=True, shape="q1"))
+    assert one[0].name != other[0].name
+
+
+def test_a_shape_is_prepared_again_after_a_reset() -> None:
+    """Guards against a name that the member has forgotten."""
+    connection = ConnectionState()
+    shape = PreparedShape(writes=False, shape="q1")
+    session = SessionState()
+    session.apply(set_value("zone", "a"))
+    plan_setup(connection, session, shape)
+    kinds = [statement.kind for statement in plan_setup(connection, SessionState(), shape)]
+    assert kinds == [StatementKind.RESET, StatementKind.PREPARE]
+
+
+def test_the_clients_id_goes_with_the_first_use_of_a_value_only() -> None:
+    """Guards against an id that a member sees as two requests of the client."""
+    session = SessionState()
+    session.apply(set_value("zone", "a", "q7"))
+    first = plan_setup(ConnectionState(), session, None)
+    second = plan_setup(ConnectionState(), session, None)
+    assert [first[0].request_id, second[0].request_id] == ["q7", ""]
+
+
+def test_closing_an_unknown_name_is_told() -> None:
+    """Guards against a CLOSE that seems to work."""
+    close = Statement(kind=StatementKind.CLOSE, request_id="q1", name="s1")
+    assert SessionState().apply(close) is Applied.UNKNOWN_NAME
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -19,6 +19,7 @@
     "control": 1000,
     "load": 1100,
     "bench": 1200,
+    "gateway": 1300,
 }
 
 
