Hold the adapter with stand-ins of members and store

Change: stand-ins of line-protocol members and of the store under tests/site, tests of the decisions, of lines, documents and settings with arbitrary input; isolation counts all members when none is in another domain; reads spare the primary when a replica is as near.

--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -146,12 +146,9 @@
 
     def _note_isolation(self, now_ms: int) -> None:
         """Send the clients elsewhere while this node reaches neither store nor other domains."""
-        heard_ms = [
-            pool.heard_ms
-            for group in self.directory.groups.values()
-            for pool in group.pools.values()
-            if pool.entry.domain != self._entry.domain
-        ]
+        pools = [pool for group in self.directory.groups.values() for pool in group.pools.values()]
+        distant = [pool for pool in pools if pool.entry.domain != self._entry.domain] or pools
+        heard_ms = [pool.heard_ms for pool in distant]
         heard_ms.append(self.directory.own.confirmed_ms or 0)
         if now_ms - max(heard_ms) < ISOLATED_MS:
             if self._isolated_ms is not None:
--- a/libs/groups/burdockrun_groups/reads.py
+++ b/libs/groups/burdockrun_groups/reads.py
@@ -5,6 +5,8 @@
 
 from burdockrun_base import LogPosition
 
+from burdockrun_groups.const import PRIMARY_SURCHARGE_MS
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadOption:
@@ -25,7 +27,8 @@
 ) -> ReadOption | None:
     """Return the option with the shortest expected time among those that may serve the read.
 
-    A replica must have applied `required`; the primary always may.
+    A replica must have applied `required`; the primary always may, but is spared for the work
+    that only it can do.
     """
     allowed = [
         option
@@ -38,4 +41,8 @@
             and option.position.has_reached(required)
         )
     ]
-    return min(allowed, key=lambda option: option.expected_ms, default=None)
+    return min(
+        allowed,
+        key=lambda option: option.expected_ms + PRIMARY_SURCHARGE_MS * option.is_primary,
+        default=None,
+    )
--- /dev/null
+++ b/tests/site/common.py
@@ -0,0 +1,207 @@
+"""Gateways before stand-ins of the store and of one database group, all on loopback."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from random import Random
+
+from burdockrun_base import FORMAT_JSON, Application, EventLog
+from burdockrun_gateway import Gateway
+from burdockrun_groups import NodeEntry
+from burdockrun_site.clients import ClientConnection
+from burdockrun_site.documents import PlatformDocuments
+from burdockrun_site.members import LineConnector
+from burdockrun_site.store import PlatformDuty, PlatformStore
+
+from tests.site.members import StandInMember
+from tests.site.store import StandInStore
+
+SERVICE = "wendedb"
+READY_S = 8.0
+
+
+class Client:
+    """Caller with one session."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._next_id = 0
+
+    async def async_read_line(self) -> str:
+        """Return the next message, empty at the end of the connection."""
+        line = await asyncio.wait_for(self._reader.readline(), 5.0)
+        return line.decode().removesuffix("\r\n")
+
+    async def async_send(self, line: str) -> list[str]:
+        """Send one message and return the answer up to READY, or to the end."""
+        self._writer.write(f"{line}\r\n".encode())
+        lines: list[str] = []
+        while True:
+            lines.append(await self.async_read_line())
+            if lines[-1].startswith("READY") or not lines[-1]:
+                return lines
+
+    async def async_query(self, text: str) -> list[str]:
+        """Send a query and return the messages of its answer."""
+        self._next_id += 1
+        return await self.async_send(f"QUERY q{id(self)}-{self._next_id} {text}")
+
+    async def async_write(self, data: bytes) -> None:
+        """Send bytes."""
+        self._writer.write(data)
+        await self._writer.drain()
+
+    def close(self) -> None:
+        """Leave."""
+        self._writer.close()
+
+
+class Deployment:
+    """Store, group and gateways."""
+
+    def __init__(self) -> None:
+        self.members = {name: StandInMember(SERVICE, name, primary=name == "a") for name in "abc"}
+        for member in self.members.values():
+            member.peers = [peer for peer in self.members.values() if peer is not member]
+        self.store = StandInStore(self._promote)
+        self.gateways: list[Gateway] = []
+        self.ports: list[int] = []
+        self._stops: list[Callable[[], Awaitable[None]]] = []
+
+    async def async_start(self, gateways: int = 2) -> None:
+        """Start everything and wait until all gateways are ready."""
+        await self.store.async_start()
+        self.configure(1)
+        for member in self.members.values():
+            await member.async_start()
+            self.announce(member)
+        for index in range(gateways):
+            await self.async_add_gateway(f"node-{index + 1}")
+        await self.async_until(lambda: all(self.is_serving(one) for one in self.gateways))
+
+    async def async_add_gateway(self, node: str) -> Gateway:
+        """Start one gateway."""
+        app = Application(events=EventLog(FORMAT_JSON))
+        address = f"127.0.0.1:{self.store.port}"
+        store, duty = PlatformStore(address), PlatformDuty(address)
+        gateway = Gateway(
+            app,
+            NodeEntry(node=node, domain="nbg"),
+            store,
+            PlatformDocuments(),
+            LineConnector(node),
+            orders=duty,
+            rng=Random(len(self.gateways)),
+        )
+        server = await asyncio.get_running_loop().create_server(
+            lambda: ClientConnection(app, gateway), "127.0.0.1", 0
+        )
+        gateway.start()
+
+        async def async_stop() -> None:
+            server.close()
+            await gateway.async_stop()
+            store.close()
+            duty.close()
+
+        self._stops.append(async_stop)
+        self.gateways.append(gateway)
+        self.ports.append(server.sockets[0].getsockname()[1])
+        return gateway
+
+    async def async_stop(self) -> None:
+        """Stop everything."""
+        for stop in self._stops:
+            await stop()
+        for member in self.members.values():
+            await member.async_stop()
+        await self.store.async_stop()
+
+    def configure(self, version: int, *, databases: tuple[str, ...] = ("urgent", "visits")) -> None:
+        """Put a configuration in force: `urgent` is read at the primary, `visits` by session."""
+        kinds = {"urgent": "primary", "visits": "session", "lookups": "bounded"}
+        routes = [
+            {
+                "Name": name,
+                "Host": name,
+                "Service": SERVICE,
+                "Type": kinds.get(name, "primary"),
+                "MaxStalenessMs": 2500,
+                "TimeoutMs": 800,
+                "TargetLatencyMs": 250,
+                "Priority": 0,
+            }
+            for name in databases
+        ]
+        services = [{"Name": SERVICE, "MaxConns": 16, "SyncReplicas": 0}]
+        self.store.put(
+            "op/config",
+            {"Version": version, "Routes": routes, "Services": services, "Limits": {}},
+        )
+
+    def announce(self, member: StandInMember, state: str = "ready") -> None:
+        """Write the entry of a member."""
+        self.store.put(
+            f"servers/{member.id}",
+            {
+                "Service": SERVICE,
+                "Address": f"127.0.0.1:{member.port}",
+                "Zone": "nbg",
+                "Version": "v1",
+                "Capacity": 2,
+                "State": state,
+                "ColdMs": 0,
+                "DbRole": "primary" if member.primary else "replica",
+                "Seq": 1,
+                "born": 1,
+            },
+        )
+
+    def is_serving(self, gateway: Gateway) -> bool:
+        """Return whether a gateway may use a primary."""
+        group = gateway.directory.find_group(SERVICE)
+        pool = group.primary_pool() if group is not None else None
+        return gateway.is_ready() and pool is not None and pool.is_usable()
+
+    async def async_connect(self, database: str, gateway: int = 0) -> Client:
+        """Open a session."""
+        client = await self.async_open(gateway)
+        assert await client.async_send(f"CONNECT {database} u1") == ["READY I -"]
+        return client
+
+    async def async_open(self, gateway: int = 0) -> Client:
+        """Open a connection."""
+        return Client(*await asyncio.open_connection("127.0.0.1", self.ports[gateway]))
+
+    async def async_until(self, condition: Callable[[], bool], seconds: float = READY_S) -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def _promote(self, member_id: str) -> bool:
+        self.members[member_id].promote()
+        return True
+
+
+@contextlib.asynccontextmanager
+async def async_deploy(gateways: int = 2) -> AsyncIterator[Deployment]:
+    """Run a deployment for the time of a test."""
+    deployment = Deployment()
+    try:
+        await deployment.async_start(gateways)
+        yield deployment
+    finally:
+        await deployment.async_stop()
+
+
+def error_of(answer: list[str]) -> str:
+    """Return the error code of an answer, or an empty string."""
+    errors = [line.split(" ")[1] for line in answer if line.startswith("ERROR")]
+    return errors[0] if errors else ""
+
+
+def rows_of(answer: list[str]) -> list[str]:
+    """Return the rows of an answer."""
+    return [line.removeprefix("ROW ") for line in answer if line.startswith("ROW ")]
--- /dev/null
+++ b/tests/site/members.py
@@ -0,0 +1,209 @@
+"""Stand-in of the members of one database group, which speak the line protocol."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+IDLE, OPEN, FAILED = "I", "T", "E"
+
+
+@dataclass(kw_only=True)
+class Commit:
+    """Entry of the group's log."""
+
+    term: int
+    number: int
+    request_id: str
+    items: dict[str, str]
+
+
+@dataclass(kw_only=True)
+class Session:
+    """State of one connection."""
+
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, str] = field(default_factory=dict)
+    state: str = IDLE
+    read_only: bool = False
+    writes: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Run:
+    """Statement that a member has run, with the session values and state that it met."""
+
+    request_id: str
+    text: str
+    values: tuple[tuple[str, str], ...]
+    state: str
+
+
+class StandInMember:
+    """One member with a log of its own."""
+
+    def __init__(self, service: str, member_id: str, *, primary: bool, max_connections: int = 16):
+        self.service = service
+        self.id = member_id
+        self.primary = primary
+        self.term = 1
+        self.held_term = 0
+        self.log: list[Commit] = []
+        self.unapplied = 0
+        self.runs: list[Run] = []
+        self.lose_answer_to = ""
+        self.silent = False
+        self.most_connections = 0
+        self.peers: list[StandInMember] = []
+        self.port = 0
+        self._max_connections = max_connections
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def async_start(self) -> None:
+        """Listen on loopback, at the port that it had before if any."""
+        self._server = await asyncio.start_server(self._async_serve, "127.0.0.1", self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def async_stop(self) -> None:
+        """Stop as a crash does."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def promote(self) -> None:
+        """Lead the next term with what was received."""
+        self.term = max(member.term for member in [self, *self.peers]) + 1
+        self.primary, self.held_term, self.unapplied = True, 0, 0
+
+    def position(self, *, applied: bool = False) -> str:
+        """Return TERM.NUMBER of the log."""
+        log = self.log[: len(self.log) - self.unapplied] if applied else self.log
+        return f"{log[-1].term}.{log[-1].number}" if log else "1.0"
+
+    def item(self, name: str) -> str:
+        """Return an item as applied."""
+        value = "none"
+        for commit in self.log[: len(self.log) - self.unapplied]:
+            value = commit.items.get(name, value)
+        return value
+
+    async def _async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        self.most_connections = max(self.most_connections, len(self._writers))
+        try:
+            await self._async_session(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _async_session(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        word, service, _, *rest = (await reader.readuntil(b"\r\n")).decode().split()
+        if word != "CONNECT" or service != self.service or (rest and rest[0] != self.id):
+            writer.write(b"ERROR WRONGNODE -\r\n")
+            return
+        if len(self._writers) > self._max_connections:
+            writer.write(b"ERROR CONNLIMIT -\r\n")
+            return
+        writer.write(f"READY I {self.position(applied=True)}\r\n".encode())
+        session = Session()
+        while True:
+            line = (await reader.readuntil(b"\r\n")).decode().removesuffix("\r\n")
+            if line == "BYE" or self.silent:
+                await asyncio.sleep(30 if self.silent else 0)
+                return
+            _, request_id, text = line.split(" ", 2)
+            answer = self._run(session, request_id, text)
+            if self.lose_answer_to and text.startswith(self.lose_answer_to):
+                self.lose_answer_to = ""
+                writer.transport.abort()
+                return
+            ready = f"READY {session.state} {self.position(applied=True)}"
+            writer.write("".join(f"{part}\r\n" for part in [*answer, ready]).encode())
+
+    def _run(self, session: Session, request_id: str, text: str) -> list[str]:
+        after, _, rest = text.removeprefix("AFTER ").partition(" ")
+        if text.startswith("AFTER "):
+            text = rest
+            wanted = tuple(map(int, after.split(".")))
+            if tuple(map(int, self.position(applied=True).split("."))) < wanted:
+                return self._fail(session, "LAGGING")
+        word, *fields = text.split(" ")
+        if session.state == FAILED and word not in {"ROLLBACK", "COMMIT"}:
+            return ["ERROR MALFORMED -"]
+        done = ["COMPLETE -"]
+        match word:
+            case "STATUS" | "PAUSE" | "RESUME" | "STEPDOWN":
+                return self._control(word, int(fields[0]) if fields else 0)
+            case "RESET":
+                session.values.clear()
+                session.prepared.clear()
+            case "SET":
+                session.values[fields[0]] = " ".join(fields[1:])
+            case "PREPARE":
+                session.prepared[fields[0]] = fields[1]
+            case "BEGIN":
+                session.read_only = fields == ["READ"]
+                if not self.primary and not session.read_only:
+                    return ["ERROR READONLY -"]
+                session.state, session.writes = OPEN, {}
+            case "ROLLBACK":
+                session.state, session.writes = IDLE, {}
+            case _:
+                return self._work(session, request_id, word, fields)
+        return done
+
+    def _work(self, session: Session, request_id: str, word: str, fields: list[str]) -> list[str]:
+        """Run a read, write or commit."""
+        if word == "EXECUTE":
+            access = session.prepared.get(fields[0])
+            if access is None:
+                return self._fail(session, "UNKNOWN")
+            word, fields = access, fields[1:]
+        if word != "READ" and not self.primary:
+            if word != "COMMIT" or session.writes:
+                return self._fail(session, "READONLY")
+        values = tuple(sorted(session.values.items()))
+        self.runs.append(Run(request_id=request_id, text=word, values=values, state=session.state))
+        rows: list[str] = []
+        if word == "READ":
+            rows = [f"ROW {session.writes.get(fields[0], self.item(fields[0]))}"]
+        elif word == "WRITE":
+            session.writes[fields[0]] = " ".join(fields[1:])
+        if word == "COMMIT" or session.state == IDLE:
+            if session.writes:
+                self._commit(request_id, session.writes)
+            session.state, session.writes = IDLE, {}
+        return [*rows, f"COMPLETE {self.id}-{request_id}"]
+
+    def _commit(self, request_id: str, items: dict[str, str]) -> None:
+        number = self.log[-1].number + 1 if self.log else 1
+        commit = Commit(term=self.term, number=number, request_id=request_id, items=dict(items))
+        self.log.append(commit)
+        for peer in self.peers:
+            if not peer.primary and not peer.held_term:
+                peer.log.append(commit)
+                peer.term = self.term
+
+    def _control(self, word: str, term: int) -> list[str]:
+        if word == "PAUSE" and term > self.term:
+            self.held_term = term
+        elif word == "RESUME":
+            self.held_term = 0
+        elif word == "STEPDOWN" and term > self.term:
+            self.primary, self.term = False, term
+        role = "primary" if self.primary else "replica"
+        return [
+            f"ROW {role} {self.term} {self.position()} {self.held_term} 0 0 {len(self._writers)}",
+            "COMPLETE -",
+        ]
+
+    def _fail(self, session: Session, code: str) -> list[str]:
+        if session.state == OPEN:
+            session.state = FAILED
+        return [f"ERROR {code} {self.id}"]
--- /dev/null
+++ b/tests/site/store.py
@@ -0,0 +1,198 @@
+"""Stand-in of the platform's metadata store and of its promotion duty."""
+
+import asyncio
+import base64
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from aiohttp import web
+
+
+@dataclass(kw_only=True)
+class Entry:
+    """Item of the store."""
+
+    value: bytes
+    revision: int
+    created: int
+    lease: int
+
+
+class StandInStore:
+    """Store in memory, with the faults that tests ask for."""
+
+    def __init__(self, promote: Callable[[str], bool]) -> None:
+        self.entries: dict[str, Entry] = {}
+        self.revision = 1
+        self.oldest = 0
+        self.down = False
+        self.lose_next_write = False
+        self.promotions: list[tuple[str, str, int]] = []
+        self.promote_delay_s = 0.05
+        self.port = 0
+        self._promote = promote
+        self._changes: list[dict[str, object]] = []
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+
+    async def async_start(self) -> None:
+        """Listen on loopback."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get("/-/kv-range", self._async_range),
+                web.get("/-/kv-watch", self._async_watch),
+                web.post("/-/kv-txn", self._async_commit),
+                web.post("/-/kv-lease", self._async_lease),
+                web.post("/-/kv-keep/{id}", self._async_keep),
+                web.delete("/-/kv-lease-end/{id}", self._async_end),
+                web.post("/promotion", self._async_promotion),
+            ]
+        )
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+
+    async def async_stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def put(self, key: str, fields: object, lease: int = 0) -> None:
+        """Write a value as the operator or a member does."""
+        value = fields if isinstance(fields, bytes) else json.dumps(fields).encode()
+        self.revision += 1
+        known = self.entries.get(key)
+        created = known.created if known is not None else self.revision
+        entry = Entry(value=value, revision=self.revision, created=created, lease=lease)
+        self.entries[key] = entry
+        self._announce({**self._describe(key, entry)})
+
+    def remove(self, key: str) -> None:
+        """Remove a key if it is there."""
+        if self.entries.pop(key, None) is not None:
+            self.revision += 1
+            self._announce({"Key": key, "Rev": self.revision, "Deleted": True})
+
+    def compact(self) -> None:
+        """Drop the history."""
+        self.oldest = self.revision
+        self._changes.clear()
+
+    def _announce(self, change: dict[str, object]) -> None:
+        self._changes.append(change)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _describe(self, key: str, entry: Entry) -> dict[str, object]:
+        return {
+            "Key": key,
+            "Value": base64.b64encode(entry.value).decode(),
+            "Rev": entry.revision,
+            "Created": entry.created,
+            "Lease": entry.lease,
+        }
+
+    def _end_leases(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for lease in [known for known, (until, _) in self._leases.items() if until <= now]:
+            self._end_lease(lease)
+
+    def _end_lease(self, lease: int) -> None:
+        self._leases.pop(lease, None)
+        for key in [key for key, entry in self.entries.items() if entry.lease == lease]:
+            self.remove(key)
+
+    def _check(self) -> None:
+        if self.down:
+            raise web.HTTPServiceUnavailable
+        self._end_leases()
+
+    async def _async_range(self, request: web.Request) -> web.Response:
+        self._check()
+        prefix = request.query["Prefix"]
+        items = [
+            self._describe(key, entry)
+            for key, entry in sorted(self.entries.items())
+            if key.startswith(prefix) and key > request.query.get("after", "")
+        ]
+        page = items[:3]
+        return web.json_response(
+            {"items": page, "HasMore": len(items) > len(page), "AsOf": self.revision}
+        )
+
+    async def _async_watch(self, request: web.Request) -> web.Response:
+        self._check()
+        after = int(request.query["after"])
+        if after < self.oldest:
+            return web.json_response({}, status=410)
+        until = asyncio.get_running_loop().time() + int(request.query["WaitMs"]) / 1000
+        while True:
+            self._check()
+            events = [
+                change
+                for change in self._changes
+                if int(str(change["Rev"])) > after
+                and str(change["Key"]).startswith(request.query["Prefix"])
+            ]
+            left = until - asyncio.get_running_loop().time()
+            if events or left <= 0:
+                return web.json_response({"events": events, "AsOf": self.revision})
+            try:
+                async with asyncio.timeout(min(left, 0.1)):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _async_commit(self, request: web.Request) -> web.Response:
+        self._check()
+        fields = await request.json()
+        for row in fields["Expected"]:
+            known = self.entries.get(row["Key"])
+            if (known.revision if known is not None else 0) != row["Rev"]:
+                return web.json_response({"items": []}, status=412)
+        leases = {row.get("Lease", 0) for row in fields["Writes"]} - {0}
+        if not leases <= set(self._leases):
+            return web.json_response({}, status=404)
+        for row in fields["Writes"]:
+            self.put(row["Key"], base64.b64decode(row["Value"]), row.get("Lease", 0))
+        for key in fields["Remove"]:
+            self.remove(key)
+        if self.lose_next_write:
+            self.lose_next_write = False
+            assert request.transport is not None
+            request.transport.abort()
+        return web.json_response({"Rev": self.revision})
+
+    async def _async_lease(self, request: web.Request) -> web.Response:
+        self._check()
+        length = (await request.json())["TtlMs"] / 1000
+        lease = max(self._leases, default=100) + 1
+        self._leases[lease] = (asyncio.get_running_loop().time() + length, length)
+        return web.json_response({"Lease": lease, "TtlMs": length * 1000})
+
+    async def _async_keep(self, request: web.Request) -> web.Response:
+        self._check()
+        lease = int(request.match_info["id"])
+        if lease not in self._leases:
+            return web.json_response({}, status=404)
+        length = self._leases[lease][1]
+        self._leases[lease] = (asyncio.get_running_loop().time() + length, length)
+        return web.json_response({"TtlMs": length * 1000})
+
+    async def _async_end(self, request: web.Request) -> web.Response:
+        self._check()
+        self._end_lease(int(request.match_info["id"]))
+        return web.json_response({})
+
+    async def _async_promotion(self, request: web.Request) -> web.Response:
+        fields = await request.json()
+        fence = int(request.headers["Fencing-Token"])
+        self.promotions.append((request.headers["Lease-Holder"], fields["Id"], fence))
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.promote_delay_s, self._promote, fields["Id"])
+        return web.json_response({})
--- /dev/null
+++ b/tests/site/test_documents.py
@@ -0,0 +1,118 @@
+"""Tests of settings and of what others write into the store."""
+
+import json
+from pathlib import Path
+
+import pytest
+from burdockrun_groups import Freshness
+from burdockrun_site.documents import PlatformDocuments
+from burdockrun_site.settings import load_settings
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+MEMBER = {
+    "Service": "huvo11a",
+    "Address": "10.128.0.9:8080",
+    "Zone": "muc-nord",
+    "Version": "v1",
+    "Capacity": 2,
+    "State": "ready",
+    "ColdMs": 0,
+    "DbRole": "replica",
+    "Seq": 4,
+    "born": 1_700_000_000_000,
+}
+SETTINGS = """\
+Node = "front-muc-nord-1"
+Zone = "muc-nord"
+Unknown = true
+[Listen]
+Front = "10.1.0.8:8784"
+Ready = "10.1.0.8:8785"
+[platform]
+Address = "10.200.1.7:8783"
+[Cloud]
+Address = "10.200.0.160:8783"
+"""
+
+
+def test_a_members_entry_is_read() -> None:
+    """Guards against a field that is taken for another."""
+    decoded = PlatformDocuments().read_member("i-7f", json.dumps(MEMBER).encode())
+    assert isinstance(decoded, Ok)
+    entry = decoded.ok_value
+    assert (entry.id, entry.host, entry.port) == ("i-7f", "10.128.0.9", 8080)
+    assert (entry.domain, entry.draining, entry.says_primary) == ("muc-nord", False, False)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"State": "resting"},
+        {"DbRole": "witness"},
+        {"Capacity": "2"},
+        {"Address": "nowhere"},
+        {"Service": None},
+        {"born": 1.5},
+    ],
+)
+def test_an_entry_of_another_shape_is_a_finding(change: dict[str, object]) -> None:
+    """Guards against work that goes to something that is no member."""
+    value = json.dumps({**MEMBER, **change}).encode()
+    assert isinstance(PlatformDocuments().read_member("i-7f", value), Err)
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_read_or_a_finding(value: bytes) -> None:
+    """Guards against a value that ends the process."""
+    documents = PlatformDocuments()
+    documents.read_member("i-7f", value)
+    documents.read_configuration(value)
+
+
+def test_a_configuration_is_read() -> None:
+    """Guards against targets and time-outs that change places."""
+    value = {
+        "Version": 7,
+        "Routes": [
+            {
+                "Name": "r",
+                "Host": "fiti832ti23",
+                "Type": "session",
+                "TimeoutMs": 800,
+                "TargetLatencyMs": 250,
+                "Priority": 1,
+                "Service": "huvo11a",
+                "MaxStalenessMs": 2500,
+            }
+        ],
+        "Services": [{"Name": "huvo11a", "MaxConns": 16, "SyncReplicas": 0}],
+        "Limits": {"IdleTxMs": 3000},
+    }
+    decoded = PlatformDocuments().read_configuration(json.dumps(value).encode())
+    assert isinstance(decoded, Ok)
+    route = decoded.ok_value.routes["fiti832ti23"]
+    assert (route.timeout_ms, route.target_ms, route.max_staleness_ms) == (800, 250, 2500)
+    assert (route.freshness, route.rank) == (Freshness.SESSION, 1)
+    assert decoded.ok_value.services["huvo11a"].max_connections == 16
+
+
+def test_settings_are_read_and_unknown_keys_ignored(tmp_path: Path) -> None:
+    """Guards against a process that does not start on newer settings."""
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS)
+    loaded = load_settings(path)
+    assert isinstance(loaded, Ok)
+    assert loaded.ok_value.client_address == ("10.1.0.8", 8784)
+    assert loaded.ok_value.domain == "muc-nord"
+
+
+def test_all_findings_of_settings_are_reported_together(tmp_path: Path) -> None:
+    """Guards against settings that are mended one start at a time."""
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS.replace('Zone = "muc-nord"', "Zone = 3").replace("[Cloud]", "[Fog]"))
+    loaded = load_settings(path)
+    assert isinstance(loaded, Err)
+    places = [finding.place for finding in loaded.err_value]
+    assert places == [str(path), f"{path}:Cloud"]
--- /dev/null
+++ b/tests/site/test_gateway.py
@@ -0,0 +1,257 @@
+"""Behaviour of gateways before stand-ins of members and store."""
+
+import asyncio
+
+import pytest
+
+from tests.site.common import SERVICE, async_deploy, error_of, rows_of
+
+
+async def test_a_write_is_read_back_by_its_session() -> None:
+    """Guards against a session that does not read its own write at a replica."""
+    async with async_deploy() as deployment:
+        client = await deployment.async_connect("visits")
+        for number in range(10):
+            for member in deployment.members.values():
+                member.unapplied = 0 if member.primary else len(member.log)
+            assert error_of(await client.async_query(f"WRITE ward v{number}")) == ""
+            assert rows_of(await client.async_query("READ ward")) == [f"v{number}"]
+
+
+async def test_a_replica_serves_reads_that_it_can_serve() -> None:
+    """Guards against a primary that carries all reads."""
+    async with async_deploy() as deployment:
+        client = await deployment.async_connect("visits")
+        assert rows_of(await client.async_query("READ ward")) == ["none"]
+        for _ in range(20):
+            assert error_of(await client.async_query("READ ward")) == ""
+        runs = {name: len(member.runs) for name, member in deployment.members.items()}
+        assert runs["b"] + runs["c"] > 0, runs
+
+
+async def test_values_and_names_of_two_clients_do_not_mix() -> None:
+    """Guards against shared connections that carry state from one client to the next."""
+    async with async_deploy(gateways=1) as deployment:
+        one = await deployment.async_connect("urgent")
+        two = await deployment.async_connect("urgent")
+        await one.async_query("SET zone north")
+        await two.async_query("SET unit nine")
+        await one.async_query("PREPARE s1 READ q1")
+        await two.async_query("PREPARE s1 WRITE q2")
+        for _ in range(5):
+            assert error_of(await one.async_query("EXECUTE s1 ward")) == ""
+            assert error_of(await two.async_query("EXECUTE s1 ward booked")) == ""
+        met = {run.values for run in deployment.members["a"].runs if run.text == "READ"}
+        assert met == {(("zone", "north"),)}
+        met = {run.values for run in deployment.members["a"].runs if run.text == "WRITE"}
+        assert met == {(("unit", "nine"),)}
+
+
+async def test_values_survive_a_failed_begin() -> None:
+    """Guards against a connection whose state is forgotten when a later set-up statement fails."""
+    async with async_deploy(gateways=1) as deployment:
+        deployment.members["a"].primary = False
+        one = await deployment.async_connect("urgent")
+        two = await deployment.async_connect("urgent")
+        await one.async_query("SET zone north")
+        assert await one.async_query("BEGIN") == ["COMPLETE -", "READY T -"]
+        assert error_of(await one.async_query("WRITE ward v1")) != ""
+        deployment.members["a"].primary = True
+        await two.async_query("READ ward")
+        runs = [run for run in deployment.members["a"].runs if run.text == "READ"]
+        assert runs[-1].values == ()
+
+
+async def test_a_transaction_stays_on_one_connection_and_rolls_back() -> None:
+    """Guards against statements outside of their transaction."""
+    async with async_deploy(gateways=1) as deployment:
+        client = await deployment.async_connect("urgent")
+        other = await deployment.async_connect("urgent")
+        await client.async_query("BEGIN")
+        assert error_of(await client.async_query("WRITE ward v1")) == ""
+        assert rows_of(await client.async_query("READ ward")) == ["v1"]
+        assert rows_of(await other.async_query("READ ward")) == ["none"]
+        assert await client.async_query("ROLLBACK") == ["COMPLETE -", "READY I -"]
+        assert rows_of(await other.async_query("READ ward")) == ["none"]
+        inside = [run.state for run in deployment.members["a"].runs if run.text == "WRITE"]
+        assert inside == ["T"]
+
+
+async def test_no_read_runs_beside_a_begin_that_a_stopped_primary_refuses() -> None:
+    """Guards against a read outside of its transaction while a primary is replaced."""
+    async with async_deploy(gateways=1) as deployment:
+        group = deployment.gateways[0].directory.groups[SERVICE]
+        record = group.authority.record
+        assert record is not None
+        deployment.members["a"].primary = False
+        group.authority.record = type(record)(
+            service=SERVICE, primary="a", epoch=record.epoch, promoted=False
+        )
+        client = await deployment.async_connect("urgent")
+        await client.async_query("BEGIN")
+        assert error_of(await client.async_query("READ ward")) == "BUSY"
+        outside = [run for run in deployment.members["a"].runs if run.text == "READ"]
+        assert outside == []
+
+
+async def test_a_new_primary_is_read_once_it_has_applied_what_it_received() -> None:
+    """Guards against a stale read between the choice of a primary and its promotion."""
+    async with async_deploy() as deployment:
+        client = await deployment.async_connect("urgent")
+        for number in range(5):
+            await client.async_query(f"WRITE ward v{number}")
+        deployment.store.promote_delay_s = 1.0
+        for name in "bc":
+            deployment.members[name].unapplied = 3
+        await deployment.members["a"].async_stop()
+        rows: list[str] = []
+        async with asyncio.timeout(8):
+            while not rows:
+                rows = rows_of(await client.async_query("READ ward"))
+                await asyncio.sleep(0.02)
+        assert rows == ["v4"]
+
+
+async def test_a_dead_primary_is_replaced_and_writes_go_on() -> None:
+    """Guards against a group that stays without a primary."""
+    async with async_deploy() as deployment:
+        client = await deployment.async_connect("urgent")
+        await client.async_query("WRITE ward v1")
+        await deployment.members["a"].async_stop()
+        async with asyncio.timeout(8):
+            while error_of(await client.async_query("WRITE ward v2")):
+                await asyncio.sleep(0.02)
+        assert rows_of(await client.async_query("READ ward")) == ["v2"]
+        assert len({fence for _, _, fence in deployment.store.promotions}) == 1
+
+
+async def test_a_draining_primary_hands_over_without_a_lost_write() -> None:
+    """Guards against acknowledged writes that the next primary lacks."""
+    async with async_deploy() as deployment:
+        client = await deployment.async_connect("urgent")
+        deployment.announce(deployment.members["a"], "draining")
+        acknowledged = 0
+        async with asyncio.timeout(10):
+            while deployment.members["a"].primary or not deployment.store.promotions:
+                if not error_of(await client.async_query(f"WRITE item{acknowledged} v")):
+                    acknowledged += 1
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.2)
+        leader = next(member for member in deployment.members.values() if member.primary)
+        assert [leader.item(f"item{number}") for number in range(acknowledged)] == [
+            "v"
+        ] * acknowledged
+
+
+async def test_a_write_whose_answer_is_lost_is_in_doubt_and_runs_once() -> None:
+    """Guards against a write that is repeated, or told as not run."""
+    async with async_deploy(gateways=1) as deployment:
+        client = await deployment.async_connect("urgent")
+        deployment.members["a"].lose_answer_to = "WRITE"
+        assert error_of(await client.async_query("WRITE ward v1")) == "INDOUBT"
+        assert len([run for run in deployment.members["a"].runs if run.text == "WRITE"]) == 1
+
+
+async def test_a_read_whose_answer_is_lost_is_repeated() -> None:
+    """Guards against a failed read that another connection can serve."""
+    async with async_deploy(gateways=1) as deployment:
+        client = await deployment.async_connect("urgent")
+        deployment.members["a"].lose_answer_to = "READ"
+        assert rows_of(await client.async_query("READ ward")) == ["none"]
+
+
+async def test_service_goes_on_while_the_store_is_down() -> None:
+    """Guards against writes that stop with the store."""
+    async with async_deploy() as deployment:
+        client = await deployment.async_connect("urgent")
+        deployment.store.down = True
+        refused = 0
+        for number in range(60):
+            refused += bool(error_of(await client.async_query(f"WRITE ward v{number}")))
+            await asyncio.sleep(0.05)
+        assert refused == 0
+
+
+async def test_no_write_is_acknowledged_when_the_lead_is_not_certain() -> None:
+    """Guards against an acknowledgement from a primary that may be superseded."""
+    async with async_deploy(gateways=1) as deployment:
+        client = await deployment.async_connect("urgent")
+        deployment.store.down = True
+        for name in "bc":
+            await deployment.members[name].async_stop()
+        await asyncio.sleep(1.8)
+        assert error_of(await client.async_query("WRITE ward v1")) in {"BUSY", "INDOUBT"}
+
+
+async def test_a_configuration_applies_after_history_was_dropped() -> None:
+    """Guards against a gateway that stays with an old ticket, or goes back to one."""
+    async with async_deploy(gateways=1) as deployment:
+        deployment.store.compact()
+        deployment.configure(7, databases=("urgent", "lookups"))
+        directory = deployment.gateways[0].directory
+        await deployment.async_until(lambda: directory.find_route("lookups") is not None, 3.0)
+        deployment.configure(5, databases=("visits",))
+        await asyncio.sleep(0.3)
+        assert directory.configuration.version == 7
+        client = await deployment.async_open()
+        assert await client.async_send("CONNECT visits u1") == ["ERROR NODB visits", ""]
+
+
+@pytest.mark.parametrize("entry", [b"\xff\x00", {"State": "ready"}, {"Seq": "x"}, b"[]"])
+async def test_an_entry_from_another_writer_names_no_member(entry: object) -> None:
+    """Guards against a foreign value that ends the members' list."""
+    async with async_deploy(gateways=1) as deployment:
+        deployment.store.put("servers/zz", entry)
+        deployment.members["b"].peers = []
+        await deployment.members["c"].async_stop()
+        deployment.store.remove("servers/c")
+        group = deployment.gateways[0].directory.groups[SERVICE]
+        await deployment.async_until(lambda: set(group.pools) == {"a", "b"})
+
+
+async def test_bad_messages_get_their_error_and_run_nothing() -> None:
+    """Guards against input that ends the process or reaches a member."""
+    async with async_deploy(gateways=1) as deployment:
+        cases = ["HELLO", "CONNECT urgent", "QUERY q1 READ x", "CONNECT  u1"]
+        for line in cases:
+            client = await deployment.async_open()
+            assert error_of(await client.async_send(line)) == "MALFORMED", line
+        client = await deployment.async_connect("urgent")
+        for text in ["READ", "WRITE x", "DROP x", "AFTER 1.1 READ x", "BEGIN WRITE", "COMMIT"]:
+            assert error_of(await client.async_query(text)) == "MALFORMED", text
+        assert error_of(await client.async_query("EXECUTE s9 x")) == "UNKNOWN"
+        large = await deployment.async_connect("urgent")
+        await large.async_write(b"QUERY q1 WRITE x " + b"y" * 1_100_000)
+        assert (await large.async_read_line()).startswith("ERROR TOOBIG")
+        assert deployment.members["a"].runs == []
+        assert rows_of(await client.async_query("READ ward")) == ["none"]
+
+
+async def test_a_drain_answers_what_it_has_read_and_closes_quiet_sessions() -> None:
+    """Guards against requests that are cut by planned work."""
+    async with async_deploy() as deployment:
+        clients = [await deployment.async_connect("urgent") for _ in range(5)]
+        drained = asyncio.create_task(deployment.gateways[0].async_drain())
+        await asyncio.sleep(0)
+        assert not deployment.gateways[0].is_ready()
+        for client in clients:
+            assert error_of(await client.async_query("READ ward")) == ""
+        for client in clients:
+            assert await client.async_read_line() == ""
+        await asyncio.wait_for(drained, 4.0)
+
+
+async def test_the_connections_to_a_member_stay_within_its_limit() -> None:
+    """Guards against nodes that take each other's connections."""
+    async with async_deploy(gateways=3) as deployment:
+        clients = [await deployment.async_connect("urgent", index % 3) for index in range(45)]
+
+        async def async_work(index: int) -> None:
+            await clients[index].async_query("BEGIN")
+            await clients[index].async_query("READ ward")
+            await asyncio.sleep(0.02)
+            await clients[index].async_query("ROLLBACK")
+
+        await asyncio.gather(*(async_work(index) for index in range(45)))
+        most = max(member.most_connections for member in deployment.members.values())
+        assert most <= 16
