--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -149,7 +149,7 @@
         pools = [pool for group in self.directory.groups.values() for pool in group.pools.values()]
         distant = [pool for pool in pools if pool.entry.domain != self._entry.domain] or pools
         heard_ms = [pool.heard_ms for pool in distant]
-        heard_ms.append(self.directory.own.confirmed_ms or 0)
+        heard_ms.append(self.directory.own.heard_ms)
         if now_ms - max(heard_ms) < ISOLATED_MS:
             if self._isolated_ms is not None:
                 self._app.events.write(ISOLATION_ENDED, node=self._entry.node)
--- a/libs/gateway/burdockrun_gateway/mirror.py
+++ b/libs/gateway/burdockrun_gateway/mirror.py
@@ -40,6 +40,7 @@
         self.loaded = False
         self.confirmed_ms: int | None = None
         self.failed_ms: int | None = None
+        self.heard_ms = app.clock.now_ms()
         self._app = app
         self._store = store
         self._prefix = prefix
@@ -109,6 +110,7 @@
         ):
             self._app.events.write(STORE_REGAINED, area=self._prefix)
         self.confirmed_ms = sent_ms
+        self.heard_ms = self._app.clock.now_ms()
         self._on_confirmed(sent_ms)
 
     def _note_failure(self, fault: StoreFault) -> None:
