--- /dev/null
+++ b/libs/gateway/burdockrun_gateway/attempts.py
@@ -0,0 +1,54 @@
+"""One statement of a client on its way to a member."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from burdockrun_groups import Route
+from burdockrun_statements import PreparedShape, Statement, StatementKind, TransactionState
+
+from burdockrun_gateway.group import Group
+
+IDLE: Final = TransactionState.IDLE
+OPEN: Final = TransactionState.OPEN
+FAILED: Final = TransactionState.FAILED
+
+
+@dataclass(kw_only=True, slots=True)
+class Attempt:
+    """What is known while a member is sought for one statement.
+
+    `started_ms` is when the statement, or its transaction, arrived. `begin` is set for the first
+    statement of a transaction.
+    """
+
+    statement: Statement
+    shape: PreparedShape | None
+    route: Route
+    group: Group
+    arrived_ms: int
+    started_ms: int
+    to_primary: bool
+    in_transaction: bool = False
+    begin: Statement | None = None
+    excluded: set[str] = field(default_factory=set)
+    tries: int = 0
+    waited_ms: int = 0
+
+    @property
+    def writes(self) -> bool:
+        """Return whether the statement changes data."""
+        return is_write(self.statement, self.shape)
+
+    @property
+    def refused_state(self) -> TransactionState:
+        """Return the state of the session after a refusal."""
+        return FAILED if self.in_transaction else IDLE
+
+    def left_ms(self, share: float, now_ms: int) -> float:
+        """Return what is left at `now_ms` of a share of the route's target."""
+        return share * self.route.target_ms - (now_ms - self.arrived_ms)
+
+
+def is_write(statement: Statement, shape: PreparedShape | None) -> bool:
+    """Return whether a statement changes data; `shape` is that of its prepared name."""
+    return statement.kind is StatementKind.WRITE or (shape is not None and shape.writes)
--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -49,6 +49,8 @@
 # Wait for a primary that is being replaced, as a share of the route's target.
 HOLD_SHARE: Final = 0.25
 RETRY_DELAY_MS: Final = 10
+# Longest wait before the primary is looked up again.
+HOLD_STEP_MS: Final = 25
 CONFIRM_WAIT_MS: Final = 700
 READ_PATIENCE_SHARE: Final = 0.5
 MIN_PATIENCE_MS: Final = 100
@@ -133,3 +135,12 @@
 ISOLATION_ENDED = define_event(
     1321, "gateway_isolation_ended", Level.INFO, "This node reaches other domains or the store."
 )
+REQUEST_RETRIED = define_event(
+    1322,
+    "request_retried",
+    Level.INFO,
+    "A request did not run, or a read got no answer; it is tried again.",
+)
+REQUEST_LATE = define_event(
+    1323, "request_late", Level.INFO, "A request was answered after the target of its route."
+)
--- /dev/null
+++ b/libs/gateway/burdockrun_gateway/exchange.py
@@ -0,0 +1,166 @@
+"""Exchange of statements and answers with a member."""
+
+import asyncio
+from dataclasses import replace
+
+from burdockrun_base import Application
+from burdockrun_statements import (
+    Answer,
+    ErrorCode,
+    SessionState,
+    Statement,
+    StatementKind,
+    TransactionState,
+    name_shape,
+    plan_setup,
+)
+
+from burdockrun_gateway.attempts import FAILED, IDLE, OPEN, Attempt
+from burdockrun_gateway.const import (
+    MIN_PATIENCE_MS,
+    READ_PATIENCE_SHARE,
+    ROLLBACK_TIMEOUT_MS,
+)
+from burdockrun_gateway.links import LinkLostError, MemberLink
+from burdockrun_gateway.placement import Placement
+from burdockrun_gateway.pools import MemberPool
+from burdockrun_gateway.verdicts import Verdicts
+
+
+class AnswerLostError(Exception):
+    """No whole answer came; the statement may have run."""
+
+
+class Exchange:
+    """Sends the statements of one session, with what a connection needs before them."""
+
+    def __init__(
+        self,
+        app: Application,
+        session: SessionState,
+        placement: Placement,
+        verdicts: Verdicts,
+    ) -> None:
+        self._app = app
+        self._session = session
+        self._placement = placement
+        self._verdicts = verdicts
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def roll_back(
+        self, pool: MemberPool, link: MemberLink, state: TransactionState, request_id: str = ""
+    ) -> None:
+        """Give a connection back, after ending what is open on it."""
+        if state is IDLE:
+            pool.release(link)
+            return
+        if link.lost or link.oldest_unanswered_ms() is not None:
+            pool.discard(link)
+            return
+        task = asyncio.get_running_loop().create_task(_async_roll_back(pool, link, request_id))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def async_exchange(
+        self,
+        attempt: Attempt,
+        pool: MemberPool,
+        link: MemberLink,
+    ) -> Answer:
+        """Send what the statement needs and return its answer.
+
+        Raises AnswerLostError when no whole answer came; the connection is closed then.
+        """
+        statements = plan_setup(link.state, self._session, attempt.shape)
+        if attempt.begin is not None:
+            awaited = attempt.group.awaited_position(pool)
+            statements.append(replace(attempt.begin, after=awaited))
+        if not self._may_combine(attempt, pool):
+            begun = await self._async_send(attempt, pool, link, statements)
+            if begun.error is not None or begun.state is not OPEN:
+                return begun
+            statements = []
+        statements.append(self._build_statement(attempt, pool))
+        return await self._async_send(attempt, pool, link, statements)
+
+    def _may_combine(self, attempt: Attempt, pool: MemberPool) -> bool:
+        """Return whether a statement may follow its BEGIN before that has been answered.
+
+        A member that has lost the lead, or lags, refuses the BEGIN and would run a read outside
+        of it.
+        """
+        if attempt.begin is None or attempt.writes:
+            return True
+        if attempt.group.awaited_position(pool) is not None:
+            return False
+        if attempt.begin.read_only and not attempt.to_primary:
+            return True
+        return attempt.group.authority.is_steady(self._app.clock.now_ms())
+
+    async def _async_send(
+        self,
+        attempt: Attempt,
+        pool: MemberPool,
+        link: MemberLink,
+        statements: list[Statement],
+    ) -> Answer:
+        """Send statements in one write and return the answer to the last one."""
+        now_ms = self._app.clock.now_ms()
+        left_ms = attempt.route.timeout_ms - (now_ms - attempt.arrived_ms)
+        patience_ms: float = left_ms
+        if not attempt.writes and not attempt.in_transaction:
+            target_ms = READ_PATIENCE_SHARE * attempt.route.target_ms
+            patience_ms = min(left_ms, max(target_ms, 4 * pool.expected_ms(), MIN_PATIENCE_MS))
+        try:
+            async with asyncio.timeout(max(patience_ms, 1) / 1000):
+                answers = await asyncio.shield(link.send(statements))
+        except LinkLostError:
+            pool.discard(link)
+            raise AnswerLostError from None
+        except TimeoutError:
+            pool.discard(link)
+            if patience_ms < left_ms:
+                raise AnswerLostError from None
+            return self._verdicts.time_out(attempt)
+        pool.observe(self._app.clock.now_ms() - now_ms)
+        for sent, answer in zip(statements[:-1], answers[:-1], strict=True):
+            if answer.error is None:
+                continue
+            if sent.kind is not StatementKind.BEGIN:
+                pool.discard(link)
+            return _setup_failure(answer, answers[-1])
+        return answers[-1]
+
+    def _build_statement(self, attempt: Attempt, pool: MemberPool) -> Statement:
+        statement = attempt.statement
+        after = None
+        if not attempt.in_transaction and not attempt.writes:
+            after = None if attempt.to_primary else self._placement.required(attempt)
+            after = after or attempt.group.awaited_position(pool)
+        return Statement(
+            kind=statement.kind,
+            request_id=statement.request_id,
+            name=name_shape(attempt.shape) if attempt.shape is not None else statement.name,
+            argument=statement.argument,
+            after=after,
+        )
+
+
+def _setup_failure(failed: Answer, last: Answer) -> Answer:
+    """Return the answer to a statement whose preparation failed."""
+    code = failed.error if failed.error is not ErrorCode.MALFORMED else ErrorCode.BUSY
+    return Answer(state=FAILED if last.state is IDLE else last.state, error=code)
+
+
+async def _async_roll_back(pool: MemberPool, link: MemberLink, request_id: str) -> None:
+    rollback = Statement(kind=StatementKind.ROLLBACK, request_id=request_id)
+    try:
+        async with asyncio.timeout(ROLLBACK_TIMEOUT_MS / 1000):
+            answers = await link.send([rollback])
+    except (TimeoutError, LinkLostError):
+        pool.discard(link)
+        return
+    if answers[-1].state is IDLE:
+        pool.release(link)
+    else:
+        pool.discard(link)
--- /dev/null
+++ b/libs/gateway/burdockrun_gateway/placement.py
@@ -0,0 +1,103 @@
+"""Choice of the member for a statement, and of a connection to it."""
+
+from burdockrun_base import Application, LogPosition
+from burdockrun_groups import Freshness, choose_member
+from burdockrun_statements import Answer, SessionState
+
+from burdockrun_gateway.attempts import Attempt
+from burdockrun_gateway.const import (
+    ADMISSION_SHARE,
+    HOLD_SHARE,
+    HOLD_STEP_MS,
+    MAX_TRIES,
+    MIN_PATIENCE_MS,
+    RETRY_DELAY_MS,
+)
+from burdockrun_gateway.links import MemberLink
+from burdockrun_gateway.pools import MemberPool
+from burdockrun_gateway.verdicts import Verdicts
+
+
+class Placement:
+    """Finds members for the statements of one session."""
+
+    def __init__(self, app: Application, session: SessionState, verdicts: Verdicts) -> None:
+        self._app = app
+        self._session = session
+        self._verdicts = verdicts
+
+    async def async_place(self, attempt: Attempt) -> tuple[MemberPool, MemberLink] | Answer:
+        """Return a connection to a member that may run the statement, or a refusal."""
+        while True:
+            attempt.tries += 1
+            if attempt.tries > MAX_TRIES:
+                return self._verdicts.refuse(
+                    attempt, attempt.refused_state, "no member could run it"
+                )
+            pool = self._choose_pool(attempt)
+            if pool is None:
+                hold_ms = self._hold_left_ms(attempt)
+                if hold_ms <= 0:
+                    return self._verdicts.refuse(
+                        attempt, attempt.refused_state, "no member is available"
+                    )
+                attempt.tries -= 1
+                await attempt.group.async_wait_changed(min(hold_ms, HOLD_STEP_MS))
+                continue
+            asked_ms = self._app.clock.now_ms()
+            limit_ms = attempt.left_ms(ADMISSION_SHARE, asked_ms)
+            if pool.expected_wait_ms() > max(limit_ms, 0):
+                return self._verdicts.refuse(
+                    attempt, attempt.refused_state, "too much work is waiting"
+                )
+            link = await pool.async_acquire(
+                attempt.route.rank, self._session, max(limit_ms, MIN_PATIENCE_MS / 4)
+            )
+            attempt.waited_ms += self._app.clock.now_ms() - asked_ms
+            if link is None:
+                return self._verdicts.refuse(
+                    attempt, attempt.refused_state, "no connection became free"
+                )
+            if link.lost:
+                continue
+            if attempt.to_primary and not attempt.group.is_primary(pool):
+                pool.release(link)
+                continue
+            return pool, link
+
+    def _choose_pool(self, attempt: Attempt) -> MemberPool | None:
+        group = attempt.group
+        if attempt.to_primary:
+            pool = group.primary_pool()
+            return pool if pool is not None and not pool.is_lost() else None
+        option = choose_member(
+            group.read_options(attempt.excluded),
+            self.required(attempt),
+            replicas_allowed=attempt.route.freshness is not Freshness.PRIMARY,
+        )
+        if option is None and attempt.excluded:
+            attempt.excluded.clear()
+        return group.pools.get(option.member_id) if option is not None else None
+
+    def required(self, attempt: Attempt) -> LogPosition | None:
+        """Return what a replica must have applied to run the statement."""
+        session = self._session
+        own = attempt.route.freshness is Freshness.SESSION
+        return attempt.group.required_position(
+            attempt.started_ms,
+            attempt.route.max_staleness_ms,
+            session.commit if own else None,
+            session.commit_epoch,
+        )
+
+    def _hold_left_ms(self, attempt: Attempt) -> float:
+        """Return how much longer a statement may wait for a primary."""
+        return attempt.left_ms(HOLD_SHARE, self._app.clock.now_ms())
+
+    async def async_pause(self, attempt: Attempt, pool: MemberPool) -> None:
+        """Wait before a statement that its member did not run is tried again."""
+        if not attempt.to_primary:
+            attempt.excluded.add(pool.entry.id)
+            return
+        hold_ms = max(self._hold_left_ms(attempt), RETRY_DELAY_MS)
+        await attempt.group.async_wait_changed(min(hold_ms, HOLD_STEP_MS))
--- /dev/null
+++ b/libs/gateway/burdockrun_gateway/verdicts.py
@@ -0,0 +1,92 @@
+"""Answers that the entry gives itself about a statement, each with its log line."""
+
+from burdockrun_base import Application
+from burdockrun_statements import Answer, ErrorCode, StatementKind, TransactionState
+
+from burdockrun_gateway.attempts import FAILED, IDLE, Attempt
+from burdockrun_gateway.const import (
+    REQUEST_LATE,
+    REQUEST_REFUSED,
+    REQUEST_RETRIED,
+    REQUEST_UNRESOLVED,
+    RETRY_AFTER_MS,
+)
+
+
+class Verdicts:
+    """Refusals, open outcomes, and the log lines of requests that did not go straight through."""
+
+    def __init__(self, app: Application) -> None:
+        self._app = app
+
+    def note_retry(self, attempt: Attempt, member: str, reason: str) -> None:
+        """Log that another member, or the same one again, is tried."""
+        self._app.events.write(
+            REQUEST_RETRIED,
+            request=attempt.statement.request_id,
+            database=attempt.route.database,
+            member=member,
+            reason=reason,
+            held_ms=self._app.clock.now_ms() - attempt.arrived_ms,
+            tries=attempt.tries,
+        )
+
+    def note_answer(self, attempt: Attempt, member: str) -> None:
+        """Log an answer that comes after the route's target."""
+        held_ms = self._app.clock.now_ms() - attempt.arrived_ms
+        if held_ms <= attempt.route.target_ms:
+            return
+        self._app.events.write(
+            REQUEST_LATE,
+            request=attempt.statement.request_id,
+            database=attempt.route.database,
+            member=member,
+            held_ms=held_ms,
+            waited_ms=attempt.waited_ms,
+            target_ms=attempt.route.target_ms,
+            tries=attempt.tries,
+        )
+
+    def refuse(
+        self,
+        attempt: Attempt,
+        state: TransactionState,
+        reason: str,
+        *,
+        code: ErrorCode = ErrorCode.BUSY,
+    ) -> Answer:
+        """Return that nothing of the statement is kept, and when to come back."""
+        now_ms = self._app.clock.now_ms()
+        self._app.events.write(
+            REQUEST_REFUSED,
+            request=attempt.statement.request_id,
+            database=attempt.route.database,
+            reason=reason,
+            code=code.value,
+            held_ms=now_ms - attempt.arrived_ms,
+            primary=attempt.group.authority.primary(now_ms),
+            tries=attempt.tries,
+        )
+        return Answer(state=state, error=code, detail=f"{reason}; retry after {RETRY_AFTER_MS} ms")
+
+    def leave_in_doubt(self, attempt: Attempt, state: TransactionState) -> Answer:
+        """Return that a write may or may not have been kept."""
+        return self._unresolved(attempt, state, ErrorCode.IN_DOUBT)
+
+    def time_out(self, attempt: Attempt) -> Answer:
+        """Return that no answer came in time; an open transaction is rolled back for sure."""
+        if not attempt.in_transaction or attempt.statement.kind is StatementKind.COMMIT:
+            return self._unresolved(attempt, IDLE, ErrorCode.TIMEOUT)
+        return self.refuse(attempt, FAILED, "no answer in time", code=ErrorCode.ABORTED)
+
+    def _unresolved(self, attempt: Attempt, state: TransactionState, code: ErrorCode) -> Answer:
+        now_ms = self._app.clock.now_ms()
+        self._app.events.write(
+            REQUEST_UNRESOLVED,
+            request=attempt.statement.request_id,
+            database=attempt.route.database,
+            code=code.value,
+            held_ms=now_ms - attempt.arrived_ms,
+            primary=attempt.group.authority.primary(now_ms),
+        )
+        return Answer(state=state, error=code, detail="the outcome is not known")
