--- a/libs/base/burdockrun_base/__init__.py
+++ b/libs/base/burdockrun_base/__init__.py
@@ -14,11 +14,13 @@
     list_events,
 )
 from burdockrun_base.logs import set_up_bounded_logs, set_up_logs
+from burdockrun_base.measurements import BUCKETS_MS, Labels, Measurements
 from burdockrun_base.metrics import Metrics
 from burdockrun_base.positions import LogPosition
 from burdockrun_base.registry import Registry
 
 __all__ = [
+    "BUCKETS_MS",
     "FORMAT_JSON",
     "FORMAT_TEXT",
     "Application",
@@ -26,12 +28,14 @@
     "EventLog",
     "Finding",
     "Findings",
+    "Labels",
     "Level",
     "LogBudget",
     "LogEvent",
     "LogPosition",
     "LossyStream",
     "ManualClock",
+    "Measurements",
     "Metrics",
     "Registry",
     "SystemClock",
--- a/libs/base/burdockrun_base/application.py
+++ b/libs/base/burdockrun_base/application.py
@@ -6,6 +6,7 @@
 
 from burdockrun_base.clock import Clock, SystemClock
 from burdockrun_base.log_events import EventLog
+from burdockrun_base.measurements import Measurements
 from burdockrun_base.metrics import Metrics
 
 Unload = Callable[[], Awaitable[None]]
@@ -23,6 +24,7 @@
     ) -> None:
         self.clock: Clock = clock or SystemClock()
         self.metrics = metrics or Metrics()
+        self.measurements = Measurements()
         self.events = events or EventLog()
         self._unloads: list[Unload] = []
         self._stopping = asyncio.Event()
--- /dev/null
+++ b/libs/base/burdockrun_base/measurements.py
@@ -0,0 +1,58 @@
+"""Counters and latency histograms of a program, bounded in number."""
+
+from bisect import bisect_left
+from dataclasses import dataclass, field
+from typing import Final
+
+MAX_SERIES: Final = 1_000
+BUCKETS_MS: Final = (5, 10, 25, 50, 100, 250, 500, 1_000, 2_500)
+OVERFLOW: Final = "other"
+
+Labels = tuple[tuple[str, str], ...]
+
+
+@dataclass(kw_only=True, slots=True)
+class Histogram:
+    """Durations in ms by bucket; the last bucket has no upper bound."""
+
+    buckets: list[int] = field(default_factory=lambda: [0] * (len(BUCKETS_MS) + 1))
+    sum_ms: float = 0.0
+
+
+class Measurements:
+    """Counts by name and labels; further series than `MAX_SERIES` are counted together."""
+
+    def __init__(self) -> None:
+        self.counters: dict[str, dict[Labels, int]] = {}
+        self.histograms: dict[str, dict[Labels, Histogram]] = {}
+        self._series = 0
+
+    def count(self, name: str, **labels: str) -> None:
+        """Add one to a counter.
+
+        >>> measurements = Measurements()
+        >>> measurements.count("refused", service="wendedb")
+        >>> measurements.counters["refused"]
+        {(('service', 'wendedb'),): 1}
+        """
+        series = self.counters.setdefault(name, {})
+        key = self._find(series, labels)
+        series[key] = series.get(key, 0) + 1
+
+    def observe(self, name: str, duration_ms: float, **labels: str) -> None:
+        """Add a duration to a histogram."""
+        series = self.histograms.setdefault(name, {})
+        histogram = series.setdefault(self._find(series, labels), Histogram())
+        histogram.buckets[bisect_left(BUCKETS_MS, duration_ms)] += 1
+        histogram.sum_ms += duration_ms
+
+    def _find(
+        self, series: dict[Labels, int] | dict[Labels, Histogram], labels: dict[str, str]
+    ) -> Labels:
+        key = tuple(labels.items())
+        if key in series:
+            return key
+        if self._series >= MAX_SERIES:
+            return tuple((name, OVERFLOW) for name in labels)
+        self._series += 1
+        return key
--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -59,6 +59,8 @@
         self._connector = connector
         self._domain = entry.domain
         self._members: dict[str, MemberEntry] = {}
+        # Entries that went missing while the store was away; their members may well be alive.
+        self._lapsed: dict[str, MemberEntry] = {}
         self._node_key = NODES_PREFIX + entry.node
         self._node_left_ms = app.clock.now_ms()
 
@@ -117,10 +119,16 @@
         return (
             self.members.loaded
             and self.members.confirmed_ms is not None
-            and self.members.confirmed_ms > failed_ms
-            and self._app.clock.now_ms() - failed_ms >= DISCOVERY_SETTLE_MS
+            and self.members.confirmed_ms >= failed_ms + DISCOVERY_SETTLE_MS
         )
 
+    def tick(self) -> None:
+        """Drop members that have not come back after an outage of the store."""
+        if self._lapsed and self.is_settled():
+            self._lapsed.clear()
+            self._spread_members()
+            self._notify()
+
     def group_revision(self, service: str) -> int:
         """Return the revision of a group's record, 0 when there is none."""
         item = self.own.items.get(GROUPS_PREFIX + service)
@@ -171,8 +179,9 @@
     def _handle_members(self, items: list[Item]) -> None:
         for item in items:
             member_id = item.key.removeprefix(self._documents.members_prefix)
+            self._lapsed.pop(member_id, None)
             if item.value is None:
-                self._members.pop(member_id, None)
+                self._forget_member(member_id)
                 continue
             decoded = self._documents.read_member(member_id, item.value)
             if isinstance(decoded, Err):
@@ -183,12 +192,16 @@
         self._spread_members()
         self._notify()
 
+    def _forget_member(self, member_id: str) -> None:
+        entry = self._members.pop(member_id, None)
+        if entry is not None and not self.is_settled():
+            self._lapsed[member_id] = entry
+
     def _spread_members(self) -> None:
+        known = {**self._lapsed, **self._members}
         for service, group in self.groups.items():
             entries = {
-                member_id: entry
-                for member_id, entry in self._members.items()
-                if entry.service == service
+                member_id: entry for member_id, entry in known.items() if entry.service == service
             }
             if entries != group.authority.members:
                 group.set_members(entries)
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -167,6 +167,7 @@
             now_ms = self._app.clock.now_ms()
             for group in self.directory.groups.values():
                 group.tick()
+            self.directory.tick()
             if self.directory.is_loaded():
                 self._note_isolation(now_ms)
             for channel in self._channels:
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -113,6 +113,9 @@
 
     def observe(self, duration_ms: float) -> None:
         """Note how long an answer took."""
+        self._app.measurements.observe(
+            "member", duration_ms, service=self.entry.service, member=self.entry.id
+        )
         self._estimate_ms += ESTIMATE_WEIGHT * (duration_ms - self._estimate_ms)
 
     async def async_acquire(
--- a/libs/gateway/burdockrun_gateway/relay.py
+++ b/libs/gateway/burdockrun_gateway/relay.py
@@ -79,8 +79,20 @@
         answer = await self._async_handle(statement, arrived_ms)
         self.state = answer.state
         self.used_ms = self._app.clock.now_ms()
+        if statement.kind not in ANSWERED_BY_ENTRY:
+            self._measure(answer, self.used_ms - arrived_ms)
         return answer
 
+    def _measure(self, answer: Answer, duration_ms: int) -> None:
+        route = self._routes.find_route(self.database)
+        labels = {
+            "service": route.service if route is not None else "",
+            "kind": route.freshness.value if route is not None else "",
+        }
+        outcome = answer.error.value if answer.error is not None else "done"
+        self._app.measurements.count("requests", **labels, outcome=outcome)
+        self._app.measurements.observe("request", duration_ms, **labels)
+
     def close(self) -> None:
         """Roll back what is open, since the client has left."""
         self._end_transaction()
--- a/tests/site/test_gateway.py
+++ b/tests/site/test_gateway.py
@@ -295,3 +295,25 @@
     await asyncio.wait_for(ended.wait(), 2.0)
     server.close()
     assert isinstance(ends[0], ConnectionResetError)
+
+
+async def test_members_whose_entries_lapsed_with_the_store_are_used_on() -> None:
+    """Guards against a group that is dropped in the seconds after an outage of the store."""
+    async with async_deploy(gateways=1) as deployment:
+        client = await deployment.async_connect("urgent")
+        deployment.store.down = True
+        await asyncio.sleep(1.2)
+        for name in "abc":
+            deployment.store.remove(f"servers/{name}")
+        deployment.store.down = False
+        refused = 0
+        for number in range(60):
+            refused += bool(error_of(await client.async_query(f"WRITE ward v{number}")))
+            if number == 40:
+                for name in "ab":
+                    deployment.announce(deployment.members[name])
+            await asyncio.sleep(0.05)
+        assert refused == 0
+        group = deployment.gateways[0].directory.groups[SERVICE]
+        await deployment.async_until(lambda: set(group.pools) == {"a", "b"})
+        assert not deployment.store.promotions
