Try a replica of the own domain that is likely to have a position

Change: a read that names its position goes to a replica of the own domain once the primary has had the position for 200 ms; a refusal keeps reads off it for 500 ms; transactions there send BEGIN alone unless the position is known. Primaries are probed after 600 ms of silence.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -33,7 +33,7 @@
 RECONNECT_DELAY_MS: Final = 100
 CONNECTION_LIMIT_DELAY_MS: Final = 250
 SILENCE_MS: Final = 600
-PROBE_INTERVAL_MS: Final = 300
+PROBE_INTERVAL_MS: Final = 600
 REPORT_INTERVAL_MS: Final = 500
 # Members are asked for reports when the store has not confirmed the record for so long.
 CONFIRMATION_OVERDUE_MS: Final = 2 * OWN_WATCH_MS + 60
@@ -62,6 +62,8 @@
 OTHER_DOMAIN_MS: Final = 10.0
 ESTIMATE_WEIGHT: Final = 0.1
 DEFAULT_LAG_MS: Final = 30
+# A replica that has refused a read as too new is not tried on mere likelihood for so long.
+LAGGING_MS: Final = 500
 
 PROMOTION_POLL_MS: Final = 25
 PROMOTION_TIMEOUT_MS: Final = 4_000
--- a/libs/gateway/burdockrun_gateway/exchange.py
+++ b/libs/gateway/burdockrun_gateway/exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import replace
 
-from burdockrun_base import Application
+from burdockrun_base import Application, LogPosition
 from burdockrun_statements import (
     Answer,
     ErrorCode,
@@ -73,7 +73,7 @@
         """
         statements = plan_setup(link.state, self._session, attempt.shape)
         if attempt.begin is not None:
-            awaited = attempt.group.awaited_position(pool)
+            awaited = self._find_awaited(attempt, pool)
             statements.append(replace(attempt.begin, after=awaited))
         if not self._may_combine(attempt, pool):
             begun = await self._async_send(attempt, pool, link, statements)
@@ -91,12 +91,22 @@
         """
         if attempt.begin is None or attempt.writes:
             return True
-        if attempt.group.awaited_position(pool) is not None:
+        if self._find_awaited(attempt, pool) is not None:
             return False
         if attempt.begin.read_only and not attempt.to_primary:
             return True
         return attempt.group.authority.is_steady(self._app.clock.now_ms())
 
+    def _find_awaited(self, attempt: Attempt, pool: MemberPool) -> LogPosition | None:
+        """Return what the member must apply before a transaction, None when it surely has."""
+        if attempt.to_primary:
+            return attempt.group.awaited_position(pool)
+        required = self._placement.required(attempt)
+        has = required is None or (
+            pool.position is not None and pool.position.has_reached(required)
+        )
+        return attempt.group.awaited_position(pool) if has else required
+
     async def _async_send(
         self,
         attempt: Attempt,
--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -9,8 +9,10 @@
     GroupRecord,
     MemberEntry,
     ReadOption,
+    Requirement,
     Watermarks,
 )
+from burdockrun_statements import Commit
 
 from burdockrun_gateway.const import (
     CONFIRMATION_OVERDUE_MS,
@@ -106,15 +108,17 @@
         """Return whether a member may be used as primary now."""
         return self.authority.primary(self._app.clock.now_ms()) == pool.entry.id
 
-    def required_position(
-        self, started_ms: int, max_staleness_ms: int, commit: LogPosition | None, epoch: str
-    ) -> LogPosition | None:
+    def find_requirement(
+        self, started_ms: int, max_staleness_ms: int, commit: Commit | None
+    ) -> Requirement | None:
         """Return what a replica must have applied; None when only the primary will do."""
         required = self.watermarks.required(started_ms, max_staleness_ms)
         if required is None or commit is None:
             return required
-        own = self.watermarks.required_for_commit(epoch, commit)
-        return None if own is None else max(required, own)
+        own = self.watermarks.required_for_commit(commit)
+        if own is None:
+            return None
+        return max(required, own, key=lambda requirement: requirement.position)
 
     def awaited_position(self, pool: MemberPool) -> LogPosition | None:
         """Return what a new primary must still apply before it is read, None when it has."""
@@ -136,6 +140,7 @@
                 is_primary=member_id == primary and self.awaited_position(pool) is None,
                 position=pool.position,
                 expected_ms=pool.expected_ms(),
+                keeps_up=pool.keeps_up(),
             )
 
     async def async_wait_changed(self, wait_ms: float) -> None:
--- a/libs/gateway/burdockrun_gateway/placement.py
+++ b/libs/gateway/burdockrun_gateway/placement.py
@@ -1,7 +1,7 @@
 """Choice of the member for a statement, and of a connection to it."""
 
 from burdockrun_base import Application, LogPosition
-from burdockrun_groups import Freshness, choose_member
+from burdockrun_groups import Freshness, Requirement, choose_member
 from burdockrun_statements import Answer, SessionState
 
 from burdockrun_gateway.attempts import Attempt
@@ -72,7 +72,8 @@
             return pool if pool is not None and not pool.is_lost() else None
         option = choose_member(
             group.read_options(attempt.excluded),
-            self.required(attempt),
+            self._find_requirement(attempt),
+            self._app.clock.now_ms(),
             replicas_allowed=attempt.route.freshness is not Freshness.PRIMARY,
         )
         if option is None and attempt.excluded:
@@ -81,13 +82,15 @@
 
     def required(self, attempt: Attempt) -> LogPosition | None:
         """Return what a replica must have applied to run the statement."""
-        session = self._session
+        requirement = self._find_requirement(attempt)
+        return requirement.position if requirement is not None else None
+
+    def _find_requirement(self, attempt: Attempt) -> Requirement | None:
         own = attempt.route.freshness is Freshness.SESSION
-        return attempt.group.required_position(
+        return attempt.group.find_requirement(
             attempt.started_ms,
             attempt.route.max_staleness_ms,
-            session.commit if own else None,
-            session.commit_epoch,
+            self._session.commit if own else None,
         )
 
     def _hold_left_ms(self, attempt: Attempt) -> float:
@@ -97,6 +100,7 @@
     async def async_pause(self, attempt: Attempt, pool: MemberPool) -> None:
         """Wait before a statement that its member did not run is tried again."""
         if not attempt.to_primary:
+            pool.note_lagging()
             attempt.excluded.add(pool.entry.id)
             return
         hold_ms = max(self._hold_left_ms(attempt), RETRY_DELAY_MS)
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -23,6 +23,7 @@
     DEFAULT_MEMBER_MS,
     ESTIMATE_WEIGHT,
     IDLE_LINK_MS,
+    LAGGING_MS,
     LINK_LOST,
     OTHER_DOMAIN_MS,
     RECONNECT_DELAY_MS,
@@ -56,7 +57,8 @@
         self.position: LogPosition | None = None
         self.position_ms = 0
         self.lag_ms = DEFAULT_LAG_MS
-        self.lagging_until_ms = 0
+        self._lagging_until_ms = 0
+        self._same_domain = same_domain
         self.heard_ms = app.clock.now_ms()
         self.fault: ConnectFault | None = None
         self.closed = False
@@ -111,6 +113,14 @@
         """Return whether nothing listens at the member's address."""
         return self.fault is ConnectFault.REFUSED and not self._links
 
+    def keeps_up(self) -> bool:
+        """Return whether a read is worth a try here when the known position is too old."""
+        return self._same_domain and self._app.clock.now_ms() >= self._lagging_until_ms
+
+    def note_lagging(self) -> None:
+        """Note that the member has refused a read as too new."""
+        self._lagging_until_ms = self._app.clock.now_ms() + LAGGING_MS
+
     def observe(self, duration_ms: float) -> None:
         """Note how long an answer took."""
         self._app.measurements.observe(
--- a/libs/gateway/burdockrun_gateway/relay.py
+++ b/libs/gateway/burdockrun_gateway/relay.py
@@ -9,6 +9,7 @@
     ANSWERED_BY_ENTRY,
     Answer,
     Applied,
+    Commit,
     ErrorCode,
     PreparedShape,
     SessionState,
@@ -227,8 +228,10 @@
         if not group.is_primary(pool):
             return self._verdicts.leave_in_doubt(attempt, IDLE)
         if answer.position is not None:
-            self._session.commit = answer.position
-            self._session.commit_epoch = group.authority.epoch(self._app.clock.now_ms())
+            now_ms = self._app.clock.now_ms()
+            self._session.commit = Commit(
+                position=answer.position, epoch=group.authority.epoch(now_ms), at_ms=now_ms
+            )
         return replace(answer, state=IDLE)
 
     async def _async_confirm(self, group: Group, pool: MemberPool, answered_ms: int) -> None:
--- a/libs/groups/burdockrun_groups/__init__.py
+++ b/libs/groups/burdockrun_groups/__init__.py
@@ -20,7 +20,7 @@
     find_first_primary,
 )
 from burdockrun_groups.reads import ReadOption, choose_member
-from burdockrun_groups.watermarks import Watermarks
+from burdockrun_groups.watermarks import Requirement, Watermarks
 
 __all__ = [
     "GRANT_MARGIN_MS",
@@ -34,6 +34,7 @@
     "NodeEntry",
     "ReadOption",
     "Reason",
+    "Requirement",
     "Route",
     "ServiceLimits",
     "Suspicion",
--- a/libs/groups/burdockrun_groups/const.py
+++ b/libs/groups/burdockrun_groups/const.py
@@ -10,5 +10,7 @@
 STALENESS_MARGIN_MS: Final = 100
 MAX_SAMPLES: Final = 64
 SAMPLE_SPACING_MS: Final = 50
+# A replica is likely to have what the primary had so long ago; several times the usual lag.
+LIKELY_APPLIED_MS: Final = 200
 # Longer way to a replica that is taken to keep the primary free, below the trip between domains.
 PRIMARY_SURCHARGE_MS: Final = 4.0
--- a/libs/groups/burdockrun_groups/reads.py
+++ b/libs/groups/burdockrun_groups/reads.py
@@ -6,6 +6,7 @@
 from burdockrun_base import LogPosition
 
 from burdockrun_groups.const import PRIMARY_SURCHARGE_MS
+from burdockrun_groups.watermarks import Requirement
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -13,36 +14,42 @@
     """Member that could serve a read.
 
     `expected_ms` is the time that an answer is likely to take; `position` the newest that it is
-    known to have applied, `lag_ms` how far behind the primary it usually is.
+    known to have applied. `keeps_up` says that it is worth a try when that is too old.
     """
 
     member_id: str
     is_primary: bool
     position: LogPosition | None
     expected_ms: float
+    keeps_up: bool = False
 
 
 def choose_member(
-    options: Iterable[ReadOption], required: LogPosition | None, *, replicas_allowed: bool
+    options: Iterable[ReadOption],
+    required: Requirement | None,
+    now_ms: int,
+    *,
+    replicas_allowed: bool,
 ) -> ReadOption | None:
     """Return the option with the shortest expected time among those that may serve the read.
 
-    A replica must have applied `required`; the primary always may, but is spared for the work
-    that only it can do.
+    A replica must have applied `required`, or be likely to; the primary always may, but is spared
+    for the work that only it can do.
     """
     allowed = [
         option
         for option in options
         if option.is_primary
-        or (
-            replicas_allowed
-            and required is not None
-            and option.position is not None
-            and option.position.has_reached(required)
-        )
+        or (replicas_allowed and required is not None and _may_serve(option, required, now_ms))
     ]
     return min(
         allowed,
         key=lambda option: option.expected_ms + PRIMARY_SURCHARGE_MS * option.is_primary,
         default=None,
     )
+
+
+def _may_serve(option: ReadOption, required: Requirement, now_ms: int) -> bool:
+    if option.position is not None and option.position.has_reached(required.position):
+        return True
+    return option.keeps_up and required.is_likely_applied(now_ms)
--- a/libs/groups/burdockrun_groups/watermarks.py
+++ b/libs/groups/burdockrun_groups/watermarks.py
@@ -4,8 +4,26 @@
 from dataclasses import dataclass, field
 
 from burdockrun_base import LogPosition
+from burdockrun_statements import Commit
 
-from burdockrun_groups.const import MAX_SAMPLES, SAMPLE_SPACING_MS, STALENESS_MARGIN_MS
+from burdockrun_groups.const import (
+    LIKELY_APPLIED_MS,
+    MAX_SAMPLES,
+    SAMPLE_SPACING_MS,
+    STALENESS_MARGIN_MS,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Requirement:
+    """Position that a read must contain; the primary had it at `known_ms` at the latest."""
+
+    known_ms: int
+    position: LogPosition
+
+    def is_likely_applied(self, now_ms: int) -> bool:
+        """Return whether a replica that keeps up has applied the position by now."""
+        return now_ms >= self.known_ms + LIKELY_APPLIED_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +66,7 @@
         """Return the newest position."""
         return self.samples[-1].position if self.samples else None
 
-    def required(self, started_ms: int, max_staleness_ms: int) -> LogPosition | None:
+    def required(self, started_ms: int, max_staleness_ms: int) -> Requirement | None:
         """Return the least position that a read which started at `started_ms` must contain.
 
         Returns None when nothing recent enough is known.
@@ -56,9 +74,11 @@
         earliest_ms = started_ms - max_staleness_ms + STALENESS_MARGIN_MS
         for sample in self.samples:
             if sample.sent_ms >= earliest_ms:
-                return sample.position
+                return Requirement(sample.sent_ms, sample.position)
         return None
 
-    def required_for_commit(self, epoch: str, commit: LogPosition) -> LogPosition | None:
+    def required_for_commit(self, commit: Commit) -> Requirement | None:
         """Return the position that holds what is left of a commit of an earlier or this epoch."""
-        return commit if epoch == self.epoch else self.first
+        if commit.epoch == self.epoch:
+            return Requirement(commit.at_ms, commit.position)
+        return Requirement(commit.at_ms, self.first) if self.first is not None else None
--- a/libs/statements/burdockrun_statements/__init__.py
+++ b/libs/statements/burdockrun_statements/__init__.py
@@ -13,6 +13,7 @@
 )
 from burdockrun_statements.session import (
     Applied,
+    Commit,
     ConnectionState,
     SessionState,
     name_shape,
@@ -24,6 +25,7 @@
     "NOT_RUN",
     "Answer",
     "Applied",
+    "Commit",
     "ConnectionState",
     "ErrorCode",
     "MemberStatus",
--- a/libs/statements/burdockrun_statements/session.py
+++ b/libs/statements/burdockrun_statements/session.py
@@ -15,19 +15,26 @@
     UNKNOWN_NAME = "unknown_name"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Commit:
+    """Last commit of a session; `epoch` names the primary that acknowledged it."""
+
+    position: LogPosition
+    epoch: str
+    at_ms: int
+
+
 @dataclass(kw_only=True, slots=True)
 class SessionState:
     """Values and prepared statements of one client session, and its last commit.
 
     `unsent` has the request ids of values that no member has been given yet, by name.
-    `commit_epoch` names the primary under which `commit` was acknowledged.
     """
 
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedShape] = field(default_factory=dict)
     unsent: dict[str, str] = field(default_factory=dict)
-    commit: LogPosition | None = None
-    commit_epoch: str = ""
+    commit: Commit | None = None
 
     def apply(self, statement: Statement) -> Applied:
         """Carry out a statement that concerns the session only."""
--- a/tests/groups/test_promotion.py
+++ b/tests/groups/test_promotion.py
@@ -6,6 +6,7 @@
     MemberEntry,
     ReadOption,
     Reason,
+    Requirement,
     assess,
     choose_member,
     choose_successor,
@@ -81,15 +82,39 @@
     assert find_first_primary(both) == ""
 
 
+def build_option(member_id: str, index: int, expected_ms: float, **fields: bool) -> ReadOption:
+    """Return a member that has applied up to `index`."""
+    return ReadOption(
+        member_id=member_id,
+        is_primary=fields.get("is_primary", False),
+        position=LogPosition(term=1, index=index),
+        expected_ms=expected_ms,
+        keeps_up=fields.get("keeps_up", False),
+    )
+
+
+REQUIRED = Requirement(1_000, LogPosition(term=1, index=10))
+
+
 def test_a_replica_serves_only_what_it_is_known_to_have() -> None:
     """Guards against a stale read at the nearer member."""
-    required = LogPosition(term=1, index=10)
-    near = ReadOption(
-        member_id="b",
-        is_primary=False,
-        position=LogPosition(term=1, index=9),
-        expected_ms=5,
-    )
-    primary = ReadOption(member_id="a", is_primary=True, position=None, expected_ms=20)
-    chosen = choose_member([near, primary], required, replicas_allowed=True)
-    assert chosen == primary
+    near = build_option("b", 9, 5)
+    primary = build_option("a", 9, 20, is_primary=True)
+    assert choose_member([near, primary], REQUIRED, 2_000, replicas_allowed=True) == primary
+    assert choose_member([near], REQUIRED, 2_000, replicas_allowed=True) is None
+
+
+def test_a_replica_that_keeps_up_is_tried_after_a_while() -> None:
+    """Guards against reads at the primary because a replica has not been heard lately."""
+    near = build_option("b", 9, 5, keeps_up=True)
+    primary = build_option("a", 9, 20, is_primary=True)
+    assert choose_member([near, primary], REQUIRED, 1_050, replicas_allowed=True) == primary
+    assert choose_member([near, primary], REQUIRED, 2_000, replicas_allowed=True) == near
+
+
+def test_nothing_known_of_the_primary_leaves_only_the_primary() -> None:
+    """Guards against a stale read when no position is recent enough."""
+    near = build_option("b", 99, 5, keeps_up=True)
+    primary = build_option("a", 9, 20, is_primary=True)
+    assert choose_member([near, primary], None, 2_000, replicas_allowed=True) == primary
+    assert choose_member([near, primary], REQUIRED, 2_000, replicas_allowed=False) == primary
--- a/tests/groups/test_watermarks.py
+++ b/tests/groups/test_watermarks.py
@@ -1,7 +1,8 @@
 """Tests of what a read must contain."""
 
 from burdockrun_base import LogPosition
-from burdockrun_groups import Watermarks
+from burdockrun_groups import Requirement, Watermarks
+from burdockrun_statements import Commit
 
 
 def at(index: int, term: int = 1) -> LogPosition:
@@ -14,7 +15,7 @@
     marks = Watermarks()
     for sent_ms, index in ((1_000, 10), (2_000, 20), (3_000, 30)):
         marks.add("a/1", sent_ms, at(index))
-    assert marks.required(3_200, 1_500) == at(20)
+    assert marks.required(3_200, 1_500) == Requirement(2_000, at(20))
 
 
 def test_nothing_recent_is_not_enough() -> None:
@@ -29,12 +30,14 @@
     marks = Watermarks()
     marks.add("a/1", 1_000, at(50))
     marks.add("b/3", 1_100, at(40, 2))
-    assert marks.required(1_200, 1_500) == at(40, 2)
-    assert marks.required_for_commit("a/1", at(50)) == at(40, 2)
+    assert marks.required(1_200, 1_500) == Requirement(1_100, at(40, 2))
+    commit = Commit(position=at(50), epoch="a/1", at_ms=1_050)
+    assert marks.required_for_commit(commit) == Requirement(1_050, at(40, 2))
 
 
 def test_a_commit_of_this_epoch_is_required_as_it_is() -> None:
     """Guards against a session that does not read its own write."""
     marks = Watermarks()
     marks.add("a/1", 1_000, at(10))
-    assert marks.required_for_commit("a/1", at(12)) == at(12)
+    commit = Commit(position=at(12), epoch="a/1", at_ms=1_050)
+    assert marks.required_for_commit(commit) == Requirement(1_050, at(12))
