Follow the store in one copy at a steady pace, with hints between nodes

Ruled out: stale reads (seconds old, the bound of draining is seven); longer grants (the announcement of a planned change lasts one grant, and must fit into the bound of draining). Change: one watch of all keys, asked every 900 ms, and at once after a datagram of a registered node that it has written a record, a suspicion or an acknowledgement.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -5,17 +5,17 @@
 from burdockrun_base import Level, define_event
 
 # Keys of the product in the shared store.
-OWN_PREFIX: Final = "burdockrun/"
 GROUPS_PREFIX: Final = "burdockrun/groups/"
 NODES_PREFIX: Final = "burdockrun/nodes/"
 ACKS_PREFIX: Final = "burdockrun/acks/"
 SUSPECTS_PREFIX: Final = "burdockrun/suspects/"
 DUTY_KEY: Final = "burdockrun/duty"
 
-# Waits of watches and pauses between questions to the store.
-OWN_WATCH_MS: Final = 600
-CONFIGURATION_WATCH_MS: Final = 4_000
-MEMBERS_INTERVAL_MS: Final = 2_000
+# Pace of questions to the store; at least one is answered within each grant.
+STORE_PACE_MS: Final = 900
+STORE_HURRIED_PACE_MS: Final = 20
+# Longest wait of a question while nothing changes.
+STORE_WATCH_MS: Final = 300
 STORE_RETRY_MS: Final = 100
 STORE_RETRY_MAX_MS: Final = 800
 
@@ -36,7 +36,7 @@
 PROBE_INTERVAL_MS: Final = 600
 REPORT_INTERVAL_MS: Final = 500
 # Members are asked for reports when the store has not confirmed the record for so long.
-CONFIRMATION_OVERDUE_MS: Final = 2 * OWN_WATCH_MS + 60
+CONFIRMATION_OVERDUE_MS: Final = STORE_PACE_MS + STORE_WATCH_MS + 50
 STATUS_TIMEOUT_MS: Final = 500
 IDLE_LINK_MS: Final = 400
 # Members keep the connections of lost machines for three seconds; meanwhile nodes take only what
--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -1,6 +1,7 @@
 """What this node learns from the shared store: tickets, members, agreed primaries, nodes."""
 
 import asyncio
+from collections.abc import Iterable
 from random import Random
 
 from burdockrun_base import Application
@@ -19,20 +20,16 @@
 from burdockrun_gateway.const import (
     ACKS_PREFIX,
     CONFIGURATION_IN_FORCE,
-    CONFIGURATION_WATCH_MS,
     DISCOVERY_SETTLE_MS,
     DOCUMENT_UNUSABLE,
     DUTY_KEY,
     GROUPS_PREFIX,
-    MEMBERS_INTERVAL_MS,
     NODES_PREFIX,
-    OWN_PREFIX,
-    OWN_WATCH_MS,
     SUSPECTS_PREFIX,
 )
 from burdockrun_gateway.group import Group
 from burdockrun_gateway.mirror import Mirror
-from burdockrun_gateway.ports import Documents, Item, MemberConnector, SharedStore
+from burdockrun_gateway.ports import Documents, Hints, Item, MemberConnector, SharedStore
 from burdockrun_gateway.records import load_ack, load_group, load_node, load_suspicion
 
 
@@ -47,6 +44,7 @@
         connector: MemberConnector,
         entry: NodeEntry,
         *,
+        hints: Hints,
         rng: Random,
     ) -> None:
         self.configuration = Configuration()
@@ -61,33 +59,39 @@
         self._members: dict[str, MemberEntry] = {}
         # Entries that went missing while the store was away; their members may well be alive.
         self._lapsed: dict[str, MemberEntry] = {}
+        self._hints = hints
+        self._node = entry.node
         self._node_key = NODES_PREFIX + entry.node
         self._node_left_ms = app.clock.now_ms()
 
-        def build(prefix: str, wait_ms: int, pause_ms: int) -> Mirror:
-            return Mirror(
-                app,
-                store,
-                prefix,
-                wait_ms=wait_ms,
-                pause_ms=pause_ms,
-                rng=rng,
-                on_change=handlers[prefix],
-                on_confirmed=self._handle_confirmed if prefix == OWN_PREFIX else _ignore,
-            )
-
-        handlers = {
-            OWN_PREFIX: self._handle_own,
-            documents.configuration_prefix: self._handle_configuration,
-            documents.members_prefix: self._handle_members,
-        }
-        self.own = build(OWN_PREFIX, OWN_WATCH_MS, 0)
-        self.tickets = build(documents.configuration_prefix, CONFIGURATION_WATCH_MS, 0)
-        self.members = build(documents.members_prefix, OWN_WATCH_MS, MEMBERS_INTERVAL_MS)
-
-    def mirrors(self) -> tuple[Mirror, ...]:
-        """Return the parts of the store that are followed."""
-        return (self.own, self.tickets, self.members)
+        self.copy = Mirror(
+            app,
+            store,
+            rng=rng,
+            on_change=self._handle_items,
+            on_confirmed=self._handle_confirmed,
+        )
+
+    def handle_hint(self, host: str) -> None:
+        """Ask the store at once when a registered node says that it has changed."""
+        if any(entry.host == host for entry in self.nodes.values()):
+            self.copy.hurry()
+
+    def hint_all(self) -> None:
+        """Tell all other nodes that the store has changed."""
+        self._send_hints(entry for name, entry in self.nodes.items() if name != self._node)
+        self.copy.hurry()
+
+    def hint_holder(self) -> None:
+        """Tell the holder of the promotion duty that the store has changed."""
+        item = self.duty_item()
+        name = item.value.decode(errors="replace") if item is not None and item.value else ""
+        holder = self.nodes.get(name)
+        if holder is not None:
+            self._send_hints([holder])
+
+    def _send_hints(self, entries: Iterable[NodeEntry]) -> None:
+        self._hints.send([(entry.host, entry.port) for entry in entries if entry.port])
 
     def find_route(self, database: str) -> Route | None:
         """Return the route of a database name."""
@@ -103,23 +107,20 @@
 
     def is_loaded(self) -> bool:
         """Return whether a configuration, members and agreed primaries are known."""
-        return self.configuration.version > 0 and all(mirror.loaded for mirror in self.mirrors())
+        return self.configuration.version > 0 and self.copy.loaded
 
     def is_settled(self) -> bool:
         """Return whether members that are missing from discovery are gone.
 
         Entries may lapse while the store is away and are written again after its return.
         """
-        failed_ms = max(
-            (mirror.failed_ms for mirror in self.mirrors() if mirror.failed_ms is not None),
-            default=None,
-        )
-        if failed_ms is None:
-            return self.members.loaded
+        copy = self.copy
+        if copy.failed_ms is None:
+            return copy.loaded
         return (
-            self.members.loaded
-            and self.members.confirmed_ms is not None
-            and self.members.confirmed_ms >= failed_ms + DISCOVERY_SETTLE_MS
+            copy.loaded
+            and copy.confirmed_ms is not None
+            and copy.confirmed_ms >= copy.failed_ms + DISCOVERY_SETTLE_MS
         )
 
     def tick(self) -> None:
@@ -131,27 +132,38 @@
 
     def group_revision(self, service: str) -> int:
         """Return the revision of a group's record, 0 when there is none."""
-        item = self.own.items.get(GROUPS_PREFIX + service)
+        item = self.copy.items.get(GROUPS_PREFIX + service)
         return item.revision if item is not None else 0
 
     def duty_item(self) -> Item | None:
         """Return the key that the holder of the promotion duty keeps."""
-        return self.own.items.get(DUTY_KEY)
+        return self.copy.items.get(DUTY_KEY)
 
     def close(self) -> None:
         """Close all connections to members."""
         for group in self.groups.values():
             group.close()
 
-    def _handle_configuration(self, items: list[Item]) -> None:
+    def _handle_items(self, items: list[Item]) -> None:
+        members_prefix = self._documents.members_prefix
         for item in items:
-            if item.value is None:
-                continue
-            decoded = self._documents.read_configuration(item.value)
-            if isinstance(decoded, Err):
-                self._app.events.write(DOCUMENT_UNUSABLE, key=item.key, reason=decoded.err_value)
-                continue
-            self._put_in_force(decoded.ok_value)
+            if item.key.startswith(self._documents.configuration_prefix):
+                self._learn_configuration(item)
+            elif item.key.startswith(members_prefix):
+                self._learn_member(item.key.removeprefix(members_prefix), item)
+            else:
+                self._learn_own(item)
+        self._spread_members()
+        self._notify()
+
+    def _learn_configuration(self, item: Item) -> None:
+        if item.value is None:
+            return
+        decoded = self._documents.read_configuration(item.value)
+        if isinstance(decoded, Err):
+            self._app.events.write(DOCUMENT_UNUSABLE, key=item.key, reason=decoded.err_value)
+            return
+        self._put_in_force(decoded.ok_value)
 
     def _put_in_force(self, configuration: Configuration) -> None:
         if configuration.version <= self.configuration.version:
@@ -167,30 +179,25 @@
                 self._add_group(service)
         self._spread_members()
         self.spread_quotas()
-        self._notify()
 
     def _add_group(self, service: str) -> None:
         group = Group(self._app, service, self._domain, self._connector)
         self.groups[service] = group
-        item = self.own.items.get(GROUPS_PREFIX + service)
+        item = self.copy.items.get(GROUPS_PREFIX + service)
         if item is not None:
             self._learn_group(item)
 
-    def _handle_members(self, items: list[Item]) -> None:
-        for item in items:
-            member_id = item.key.removeprefix(self._documents.members_prefix)
-            self._lapsed.pop(member_id, None)
-            if item.value is None:
-                self._forget_member(member_id)
-                continue
-            decoded = self._documents.read_member(member_id, item.value)
-            if isinstance(decoded, Err):
-                self._members.pop(member_id, None)
-                self._app.events.write(DOCUMENT_UNUSABLE, key=item.key, reason=decoded.err_value)
-                continue
-            self._members[member_id] = decoded.ok_value
-        self._spread_members()
-        self._notify()
+    def _learn_member(self, member_id: str, item: Item) -> None:
+        self._lapsed.pop(member_id, None)
+        if item.value is None:
+            self._forget_member(member_id)
+            return
+        decoded = self._documents.read_member(member_id, item.value)
+        if isinstance(decoded, Err):
+            self._members.pop(member_id, None)
+            self._app.events.write(DOCUMENT_UNUSABLE, key=item.key, reason=decoded.err_value)
+            return
+        self._members[member_id] = decoded.ok_value
 
     def _forget_member(self, member_id: str) -> None:
         entry = self._members.pop(member_id, None)
@@ -219,15 +226,14 @@
                     warm=max(1, limits.max_connections // 2 // nodes),
                 )
 
-    def _handle_own(self, items: list[Item]) -> None:
-        for item in items:
-            if item.key.startswith(GROUPS_PREFIX):
-                self._learn_group(item)
-            elif item.key.startswith(NODES_PREFIX):
-                self._learn_node(item)
-            elif item.key.startswith(SUSPECTS_PREFIX):
-                self._learn_suspicion(item)
-        self._notify()
+    def _learn_own(self, item: Item) -> None:
+        """Take over a key of the product."""
+        if item.key.startswith(GROUPS_PREFIX):
+            self._learn_group(item)
+        elif item.key.startswith(NODES_PREFIX):
+            self._learn_node(item)
+        elif item.key.startswith(SUSPECTS_PREFIX):
+            self._learn_suspicion(item)
 
     def _learn_group(self, item: Item) -> None:
         service = item.key.removeprefix(GROUPS_PREFIX)
@@ -243,9 +249,9 @@
     def learn_record(self, record: GroupRecord, revision: int, value: bytes) -> None:
         """Take over a group's record that this node has written itself."""
         key = GROUPS_PREFIX + record.service
-        known = self.own.items.get(key)
+        known = self.copy.items.get(key)
         if known is None or known.revision < revision:
-            self.own.items[key] = Item(key=key, revision=revision, value=value)
+            self.copy.items[key] = Item(key=key, revision=revision, value=value)
         group = self.groups.get(record.service)
         if group is not None:
             group.set_record(record)
@@ -280,17 +286,17 @@
         registered, so one that has left has none after the length of a grant.
         """
         left_ms = self._app.clock.now_ms() - self._node_left_ms
-        if self.own.as_of < revision or left_ms < GRANT_MS + GRANT_MARGIN_MS:
+        if self.copy.as_of < revision or left_ms < GRANT_MS + GRANT_MARGIN_MS:
             return False
         keys = [f"{ACKS_PREFIX}{service}/{node}" for node in self.nodes]
-        acks = [self.own.items.get(key) for key in keys]
+        acks = [self.copy.items.get(key) for key in keys]
         return all(
             ack is not None and ack.value is not None and load_ack(ack.value) >= epoch
             for ack in acks
         )
 
     def _handle_confirmed(self, sent_ms: int) -> None:
-        if self._node_key not in self.own.items:
+        if self._node_key not in self.copy.items:
             return
         for group in self.groups.values():
             group.confirm_record(sent_ms)
@@ -298,7 +304,3 @@
     def _notify(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
-
-
-def _ignore(sent_ms: int) -> None:
-    """Accept a confirmation that nothing depends on."""
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -26,7 +26,7 @@
 )
 from burdockrun_gateway.directory import Directory
 from burdockrun_gateway.leases import Duty, Registration
-from burdockrun_gateway.ports import Documents, MemberConnector, PromotionDuty, SharedStore
+from burdockrun_gateway.ports import Documents, Hints, MemberConnector, PromotionDuty, SharedStore
 from burdockrun_gateway.relay import Relay
 from burdockrun_gateway.reports import Reports
 from burdockrun_gateway.supervisor import Supervisor
@@ -57,13 +57,14 @@
         documents: Documents,
         connector: MemberConnector,
         *,
+        hints: Hints,
         orders: PromotionDuty,
         rng: Random,
     ) -> None:
         self.draining = False
         self._app = app
         self._entry = entry
-        self.directory = Directory(app, store, documents, connector, entry, rng=rng)
+        self.directory = Directory(app, store, documents, connector, entry, hints=hints, rng=rng)
         self._registration = Registration(app, store, self.directory, entry)
         self._duty = Duty(app, store, self.directory, entry.node, rng)
         self._supervisor = Supervisor(app, store, self.directory, self._duty, orders)
@@ -75,8 +76,7 @@
     def start(self) -> None:
         """Start following the store and members."""
         self._app.events.write(GATEWAY_STARTED, domain=self._entry.domain)
-        for mirror in self.directory.mirrors():
-            self._spawn(mirror.async_run())
+        self._spawn(self.directory.copy.async_run())
         self._spawn(self._registration.async_run())
         self._spawn(self._duty.async_run())
         self._spawn(self._supervisor.async_run())
@@ -149,7 +149,7 @@
         pools = [pool for group in self.directory.groups.values() for pool in group.pools.values()]
         distant = [pool for pool in pools if pool.entry.domain != self._entry.domain] or pools
         heard_ms = [pool.heard_ms for pool in distant]
-        heard_ms.append(self.directory.own.heard_ms)
+        heard_ms.append(self.directory.copy.heard_ms)
         if now_ms - max(heard_ms) < ISOLATED_MS:
             if self._isolated_ms is not None:
                 self._app.events.write(ISOLATION_ENDED)
--- a/libs/gateway/burdockrun_gateway/leases.py
+++ b/libs/gateway/burdockrun_gateway/leases.py
@@ -98,11 +98,11 @@
 
     def _is_gone(self) -> bool:
         """Return whether the store has dropped the key before its lease ended."""
-        own = self._directory.own
-        if own.confirmed_ms is None or not own.loaded:
+        copy = self._directory.copy
+        if copy.confirmed_ms is None or not copy.loaded:
             return False
         taken_ms = self._key.until_ms - NODE_LEASE_MS
-        return own.confirmed_ms > taken_ms and self._node_key not in own.items
+        return copy.confirmed_ms > taken_ms and self._node_key not in copy.items
 
     async def async_release(self) -> None:
         """Remove the registration."""
@@ -139,11 +139,11 @@
         if not self._held or now_ms >= self._key.until_ms:
             return False
         item = self._directory.duty_item()
-        own = self._directory.own
-        proven_ms = max(own.confirmed_ms or 0, self._taken_ms)
+        copy = self._directory.copy
+        proven_ms = max(copy.confirmed_ms or 0, self._taken_ms)
         if item is not None and item.created != self._key.revision:
             return False
-        if item is None and (own.confirmed_ms or 0) > self._taken_ms:
+        if item is None and (copy.confirmed_ms or 0) > self._taken_ms:
             return False
         return now_ms < proven_ms + DUTY_PROOF_MS
 
@@ -154,7 +154,7 @@
     async def async_run(self) -> None:
         """Take the duty when nobody holds it, and keep it."""
         while True:
-            if self._directory.own.loaded and self._directory.duty_item() is None:
+            if self._directory.copy.loaded and self._directory.duty_item() is None:
                 await asyncio.sleep(self._rng.uniform(0, STORE_RETRY_MS) / 1000)
                 if self._directory.duty_item() is None and not self.declined:
                     await self._async_take()
--- a/libs/gateway/burdockrun_gateway/mirror.py
+++ b/libs/gateway/burdockrun_gateway/mirror.py
@@ -1,4 +1,4 @@
-"""Copy of a part of the shared store that is kept up to date."""
+"""Copy of the shared store that is kept up to date."""
 
 import asyncio
 from collections.abc import Callable
@@ -8,10 +8,13 @@
 from result import Err
 
 from burdockrun_gateway.const import (
+    STORE_HURRIED_PACE_MS,
     STORE_LOST,
+    STORE_PACE_MS,
     STORE_REGAINED,
     STORE_RETRY_MAX_MS,
     STORE_RETRY_MS,
+    STORE_WATCH_MS,
 )
 from burdockrun_gateway.ports import Item, SharedStore, StoreFault
 
@@ -22,16 +25,17 @@
 
 
 class Mirror:
-    """Items below a prefix, by listing them once and watching for changes."""
+    """All items of the store, by listing them once and asking for changes.
+
+    Members write all the time, so a watch would return at once: it is asked at a steady pace, and
+    at once after a hint that something has changed.
+    """
 
     def __init__(
         self,
         app: Application,
         store: SharedStore,
-        prefix: str,
         *,
-        wait_ms: int,
-        pause_ms: int,
         rng: Random,
         on_change: OnChange,
         on_confirmed: OnConfirmed,
@@ -43,13 +47,15 @@
         self.heard_ms = app.clock.now_ms()
         self._app = app
         self._store = store
-        self._prefix = prefix
-        self._wait_ms = wait_ms
-        self._pause_ms = pause_ms
         self._rng = rng
         self._on_change = on_change
         self._on_confirmed = on_confirmed
         self.as_of = 0
+        self._wake = asyncio.Event()
+
+    def hurry(self) -> None:
+        """Ask the store at once, since something has changed there."""
+        self._wake.set()
 
     async def async_run(self) -> None:
         """Follow the store until cancelled."""
@@ -60,9 +66,7 @@
             if fault is None:
                 delay_ms = 0.0
                 self._confirm(sent_ms)
-                pause_ms = self._pause_ms - (self._app.clock.now_ms() - sent_ms)
-                if pause_ms > 0:
-                    await asyncio.sleep(pause_ms / 1000)
+                await self._async_pause(sent_ms)
                 continue
             if fault is StoreFault.COMPACTED:
                 self.loaded = False
@@ -71,8 +75,20 @@
             delay_ms = min(STORE_RETRY_MAX_MS, max(STORE_RETRY_MS, 2 * delay_ms))
             await asyncio.sleep(delay_ms * self._rng.uniform(0.6, 1.0) / 1000)
 
+    async def _async_pause(self, sent_ms: int) -> None:
+        """Wait until the next question is due."""
+        pause_ms = STORE_PACE_MS - (self._app.clock.now_ms() - sent_ms)
+        try:
+            async with asyncio.timeout(max(pause_ms, 0) / 1000):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+        self._wake.clear()
+        least_ms = STORE_HURRIED_PACE_MS - (self._app.clock.now_ms() - sent_ms)
+        await asyncio.sleep(max(least_ms, 0) / 1000)
+
     async def _async_list(self) -> StoreFault | None:
-        listed = await self._store.async_list(self._prefix)
+        listed = await self._store.async_list("")
         if isinstance(listed, Err):
             return listed.err_value
         listing = listed.ok_value
@@ -90,7 +106,7 @@
         return None
 
     async def _async_watch(self) -> StoreFault | None:
-        watched = await self._store.async_watch(self._prefix, self.as_of, self._wait_ms)
+        watched = await self._store.async_watch("", self.as_of, STORE_WATCH_MS)
         if isinstance(watched, Err):
             return watched.err_value
         listing = watched.ok_value
@@ -108,7 +124,7 @@
         if self.failed_ms is not None and (
             self.confirmed_ms is None or self.failed_ms > self.confirmed_ms
         ):
-            self._app.events.write(STORE_REGAINED, area=self._prefix)
+            self._app.events.write(STORE_REGAINED)
         self.confirmed_ms = sent_ms
         self.heard_ms = self._app.clock.now_ms()
         self._on_confirmed(sent_ms)
@@ -117,5 +133,5 @@
         if self.failed_ms is None or (
             self.confirmed_ms is not None and self.confirmed_ms > self.failed_ms
         ):
-            self._app.events.write(STORE_LOST, area=self._prefix, reason=fault.value)
+            self._app.events.write(STORE_LOST, reason=fault.value)
         self.failed_ms = self._app.clock.now_ms()
--- a/libs/gateway/burdockrun_gateway/ports.py
+++ b/libs/gateway/burdockrun_gateway/ports.py
@@ -1,6 +1,6 @@
 """Interfaces of the gateway to callers, members, the shared store and the promotion duty."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -144,6 +144,14 @@
         ...
 
 
+class Hints(Protocol):
+    """Tells other nodes that the store has changed; may be lost."""
+
+    def send(self, peers: Iterable[tuple[str, int]]) -> None:
+        """Tell the peers at these addresses."""
+        ...
+
+
 class PromotionDuty(Protocol):
     """Orders promotions at the platform."""
 
--- a/libs/gateway/burdockrun_gateway/records.py
+++ b/libs/gateway/burdockrun_gateway/records.py
@@ -45,15 +45,24 @@
 
 def dump_node(entry: NodeEntry) -> bytes:
     """Encode the registration of a node."""
-    return json.dumps({"node": entry.node, "domain": entry.domain}).encode()
+    return json.dumps(
+        {"node": entry.node, "domain": entry.domain, "host": entry.host, "port": entry.port}
+    ).encode()
 
 
 def load_node(value: bytes) -> Result[NodeEntry, str]:
     """Decode the registration of a node."""
     fields = _load(value)
     try:
-        return Ok(NodeEntry(node=str(fields["node"]), domain=str(fields["domain"])))
-    except KeyError as error:
+        return Ok(
+            NodeEntry(
+                node=str(fields["node"]),
+                domain=str(fields["domain"]),
+                host=str(fields["host"]),
+                port=int(fields["port"]),
+            )
+        )
+    except (KeyError, TypeError, ValueError) as error:
         return Err(f"node entry: {error!r}")
 
 
--- a/libs/gateway/burdockrun_gateway/reports.py
+++ b/libs/gateway/burdockrun_gateway/reports.py
@@ -58,4 +58,5 @@
         if isinstance(result, Err):
             await asyncio.sleep(STORE_RETRY_MS / 1000)
             return False
+        self._directory.hint_holder()
         return True
--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -354,6 +354,7 @@
         if isinstance(written, Err):
             raise _AbandonedError(f"the record was not written: {written.err_value.value}")
         self._directory.learn_record(record, written.ok_value, value)
+        self._directory.hint_all()
         return record
 
     def _is_dead(self, group: Group, member: str) -> bool:
--- a/libs/groups/burdockrun_groups/models.py
+++ b/libs/groups/burdockrun_groups/models.py
@@ -86,10 +86,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NodeEntry:
-    """Entry VM that has registered itself."""
+    """Entry VM that has registered itself; `host` and `port` take hints from other nodes."""
 
     node: str
     domain: str
+    host: str = ""
+    port: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -53,15 +53,15 @@
     mirror = Mirror(
         Application(),
         store,  # type: ignore[arg-type]
-        "p/",
-        wait_ms=10,
-        pause_ms=0,
         rng=Random(1),
         on_change=lambda items: changes.append([one.key for one in items]),
         on_confirmed=confirmed.append,
     )
     task = asyncio.create_task(mirror.async_run())
-    await asyncio.wait_for(store.finished.wait(), 3.0)
+    async with asyncio.timeout(5.0):
+        while not store.finished.is_set():
+            mirror.hurry()
+            await asyncio.sleep(0.01)
     task.cancel()
     return mirror, changes, len(confirmed)
 
--- a/tests/site/common.py
+++ b/tests/site/common.py
@@ -10,6 +10,7 @@
 from burdockrun_groups import NodeEntry
 from burdockrun_site.clients import ClientConnection
 from burdockrun_site.documents import PlatformDocuments
+from burdockrun_site.hints import HintPort
 from burdockrun_site.members import LineConnector
 from burdockrun_site.store import PlatformDuty, PlatformStore
 
@@ -86,18 +87,22 @@
         app = Application(events=EventLog(FORMAT_JSON))
         address = f"127.0.0.1:{self.store.port}"
         store, duty = PlatformStore(address), PlatformDuty(address)
+        hints = HintPort()
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(lambda: hints, ("127.0.0.1", 0))
+        port = transport.get_extra_info("sockname")[1]
         gateway = Gateway(
             app,
-            NodeEntry(node=node, domain="nbg"),
+            NodeEntry(node=node, domain="nbg", host="127.0.0.1", port=port),
             store,
             PlatformDocuments(),
             LineConnector(node),
+            hints=hints,
             orders=duty,
             rng=Random(len(self.gateways)),
         )
-        server = await asyncio.get_running_loop().create_server(
-            lambda: ClientConnection(app, gateway), "127.0.0.1", 0
-        )
+        hints.on_hint = gateway.directory.handle_hint
+        server = await loop.create_server(lambda: ClientConnection(app, gateway), "127.0.0.1", 0)
         gateway.start()
 
         async def async_stop() -> None:
@@ -105,6 +110,7 @@
             await gateway.async_stop()
             store.close()
             duty.close()
+            hints.close()
 
         self._stops.append(async_stop)
         self.gateways.append(gateway)
@@ -160,9 +166,11 @@
         )
 
     def is_serving(self, gateway: Gateway) -> bool:
-        """Return whether a gateway may use a primary."""
+        """Return whether a gateway may use a primary that has been agreed on."""
         group = gateway.directory.find_group(SERVICE)
-        pool = group.primary_pool() if group is not None else None
+        if group is None or group.authority.record is None:
+            return False
+        pool = group.primary_pool()
         return gateway.is_ready() and pool is not None and pool.is_usable()
 
     async def async_connect(self, database: str, gateway: int = 0) -> Client:
--- a/tests/site/test_documents.py
+++ b/tests/site/test_documents.py
@@ -26,6 +26,7 @@
 SETTINGS = """\
 Node = "front-muc-nord-1"
 Zone = "muc-nord"
+PeerPorts = [7440, 7455]
 Unknown = true
 [Listen]
 Front = "10.1.0.8:8784"
