--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -14,6 +14,8 @@
 # Pace of questions to the store; at least one is answered within each grant.
 STORE_PACE_MS: Final = 900
 STORE_HURRIED_PACE_MS: Final = 20
+# Pace while a primary is lost or being replaced, when the next step may come from any node.
+STORE_ALERT_PACE_MS: Final = 150
 # Longest wait of a question while nothing changes.
 STORE_WATCH_MS: Final = 300
 STORE_RETRY_MS: Final = 100
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -168,6 +168,8 @@
             for group in self.directory.groups.values():
                 group.tick()
             self.directory.tick()
+            groups = self.directory.groups.values()
+            self.directory.copy.set_alert(alert=any(group.needs_change() for group in groups))
             if self.directory.is_loaded():
                 self._note_isolation(now_ms)
             for channel in self._channels:
--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -100,6 +100,12 @@
         if not had_grant:
             self._notify()
 
+    def needs_change(self) -> bool:
+        """Return whether the primary is lost, or its replacement is under way."""
+        record = self.authority.record
+        unsettled = record is None or not record.primary or not record.promoted or record.ending
+        return unsettled or bool(self.suspected)
+
     def primary_pool(self) -> MemberPool | None:
         """Return the connections to the member that may be used as primary now."""
         return self.pools.get(self.authority.primary(self._app.clock.now_ms()))
--- a/libs/gateway/burdockrun_gateway/mirror.py
+++ b/libs/gateway/burdockrun_gateway/mirror.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from burdockrun_gateway.const import (
+    STORE_ALERT_PACE_MS,
     STORE_HURRIED_PACE_MS,
     STORE_LOST,
     STORE_PACE_MS,
@@ -51,8 +52,15 @@
         self._on_change = on_change
         self._on_confirmed = on_confirmed
         self.as_of = 0
+        self._pace_ms = STORE_PACE_MS
         self._wake = asyncio.Event()
 
+    def set_alert(self, *, alert: bool) -> None:
+        """Ask more often while a primary is lost or being replaced."""
+        if alert and self._pace_ms == STORE_PACE_MS:
+            self.hurry()
+        self._pace_ms = STORE_ALERT_PACE_MS if alert else STORE_PACE_MS
+
     def hurry(self) -> None:
         """Ask the store at once, since something has changed there."""
         self._wake.set()
@@ -77,7 +85,7 @@
 
     async def _async_pause(self, sent_ms: int) -> None:
         """Wait until the next question is due."""
-        pause_ms = STORE_PACE_MS - (self._app.clock.now_ms() - sent_ms)
+        pause_ms = self._pace_ms - (self._app.clock.now_ms() - sent_ms)
         try:
             async with asyncio.timeout(max(pause_ms, 0) / 1000):
                 await self._wake.wait()
