Judge isolation by unanswered questions

Cause: a node of a cut zone took its clients' requests for 0.9 to 1.0 s before it said that it was not ready, and could not tell silence from a lack of work once the store is asked every 900 ms. Ruled out: shorter limits on what was heard; a node without work hears nothing either. Change: members of other domains must leave statements unanswered for 600 ms, and the store, asked at once after 300 ms of that, must not answer within 400 ms; sessions are closed 1.2 s later in place of 2.0 s.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -79,8 +79,13 @@
 # A client that has been quiet for so long is not about to send a request.
 QUIET_CLIENT_MS: Final = 100
 QUIET_CLIENT_HURRY_MS: Final = 20
-# Without the store and all members of other domains for so long, this node serves nobody.
-ISOLATED_MS: Final = 1_000
+# A node is isolated when statements wait at members of other domains, none of these has said
+# anything for so long, and the store does not answer a question either.
+SUSPECT_SILENCE_MS: Final = 300
+ISOLATED_SILENCE_MS: Final = 600
+ISOLATED_STORE_MS: Final = 400
+# The platform has noticed in most cases by then that the node is not ready.
+ISOLATED_CLOSE_MS: Final = 1_200
 
 GATEWAY_STARTED = define_event(
     1301, "gateway_started", Level.INFO, "The gateway accepts connections."
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -18,13 +18,14 @@
     GATEWAY_STARTED,
     GATEWAY_STOPPED,
     ISOLATED,
-    ISOLATED_MS,
+    ISOLATED_CLOSE_MS,
     ISOLATION_ENDED,
     QUIET_CLIENT_HURRY_MS,
     QUIET_CLIENT_MS,
     TICK_MS,
 )
 from burdockrun_gateway.directory import Directory
+from burdockrun_gateway.isolation import Isolation
 from burdockrun_gateway.leases import Duty, Registration
 from burdockrun_gateway.ports import Documents, Hints, MemberConnector, PromotionDuty, SharedStore
 from burdockrun_gateway.relay import Relay
@@ -69,7 +70,7 @@
         self._duty = Duty(app, store, self.directory, entry.node, rng)
         self._supervisor = Supervisor(app, store, self.directory, self._duty, orders)
         self._reports = Reports(store, self.directory, entry.node)
-        self._isolated_ms: int | None = None
+        self._isolation = Isolation(self.directory.copy)
         self._channels: set[ClientChannel] = set()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -85,7 +86,8 @@
 
     def is_ready(self) -> bool:
         """Return whether new clients should come here."""
-        if self.draining or self._isolated_ms is not None or not self.directory.is_loaded():
+        isolated = self._isolation.since_ms is not None
+        if self.draining or isolated or not self.directory.is_loaded():
             return False
         groups = self.directory.groups.values()
         return any(pool.is_usable() for group in groups for pool in group.pools.values())
@@ -148,17 +150,15 @@
         """Send the clients elsewhere while this node reaches neither store nor other domains."""
         pools = [pool for group in self.directory.groups.values() for pool in group.pools.values()]
         distant = [pool for pool in pools if pool.entry.domain != self._entry.domain] or pools
-        heard_ms = [pool.heard_ms for pool in distant]
-        heard_ms.append(self.directory.copy.heard_ms)
-        if now_ms - max(heard_ms) < ISOLATED_MS:
-            if self._isolated_ms is not None:
+        changed = self._isolation.update(distant, now_ms)
+        since_ms = self._isolation.since_ms
+        if since_ms is None:
+            if changed:
                 self._app.events.write(ISOLATION_ENDED)
-            self._isolated_ms = None
             return
-        if self._isolated_ms is None:
-            self._isolated_ms = now_ms
+        if changed:
             self._app.events.write(ISOLATED, sessions=len(self._channels))
-        if now_ms - self._isolated_ms >= DRAIN_READY_MS:
+        if now_ms - since_ms >= ISOLATED_CLOSE_MS:
             self._close_quiet(QUIET_CLIENT_HURRY_MS)
 
     async def _async_tick(self) -> None:
--- a/libs/gateway/burdockrun_gateway/mirror.py
+++ b/libs/gateway/burdockrun_gateway/mirror.py
@@ -46,6 +46,7 @@
         self.confirmed_ms: int | None = None
         self.failed_ms: int | None = None
         self.heard_ms = app.clock.now_ms()
+        self.asked_ms: int | None = None
         self._app = app
         self._store = store
         self._rng = rng
@@ -55,6 +56,10 @@
         self._pace_ms = STORE_PACE_MS
         self._wake = asyncio.Event()
 
+    def is_failing(self) -> bool:
+        """Return whether the last question had no usable answer."""
+        return self.failed_ms is not None and self.failed_ms >= self.heard_ms
+
     def set_alert(self, *, alert: bool) -> None:
         """Ask more often while a primary is lost or being replaced."""
         if alert and self._pace_ms == STORE_PACE_MS:
@@ -70,7 +75,9 @@
         delay_ms = 0.0
         while True:
             sent_ms = self._app.clock.now_ms()
+            self.asked_ms = sent_ms
             fault = await (self._async_watch() if self.loaded else self._async_list())
+            self.asked_ms = None
             if fault is None:
                 delay_ms = 0.0
                 self._confirm(sent_ms)
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -96,12 +96,11 @@
 
     def is_silent(self) -> bool:
         """Return whether statements wait for a member that says nothing."""
-        now_ms = self._app.clock.now_ms()
-        for link in self._links:
-            sent_ms = link.oldest_unanswered_ms()
-            if sent_ms is not None and now_ms - max(sent_ms, self.heard_ms) >= SILENCE_MS:
-                return True
-        return False
+        return self._is_silent_for(SILENCE_MS)
+
+    def is_waiting_longer(self, duration_ms: int) -> bool:
+        """Return whether the member is lost, or has said nothing for so long to a statement."""
+        return self.is_lost() or self._is_silent_for(duration_ms)
 
     def is_lost(self) -> bool:
         """Return whether the member is likely to be down or out of reach."""
@@ -258,6 +257,14 @@
         if link in self._idle:
             self._idle.remove(link)
 
+    def _is_silent_for(self, duration_ms: int) -> bool:
+        now_ms = self._app.clock.now_ms()
+        for link in self._links:
+            sent_ms = link.oldest_unanswered_ms()
+            if sent_ms is not None and now_ms - max(sent_ms, self.heard_ms) >= duration_ms:
+                return True
+        return False
+
     def _allowed(self) -> int:
         """Return how many connections this node may have now."""
         restrained = self._app.clock.now_ms() < self._restrained_until_ms
--- a/tests/site/members.py
+++ b/tests/site/members.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 IDLE, OPEN, FAILED = "I", "T", "E"
+SILENT_S = 30
 
 
 @dataclass(kw_only=True)
@@ -105,6 +106,9 @@
     async def _async_session(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self.silent:
+            await asyncio.sleep(SILENT_S)
+            return
         word, service, _, *rest = (await reader.readuntil(b"\r\n")).decode().split()
         if word != "CONNECT" or service != self.service or (rest and rest[0] != self.id):
             writer.write(b"ERROR WRONGNODE -\r\n")
@@ -117,7 +121,7 @@
         while True:
             line = (await reader.readuntil(b"\r\n")).decode().removesuffix("\r\n")
             if line == "BYE" or self.silent:
-                await asyncio.sleep(30 if self.silent else 0)
+                await asyncio.sleep(SILENT_S if self.silent else 0)
                 return
             _, request_id, text = line.split(" ", 2)
             answer = self._run(session, request_id, text)
--- a/tests/site/test_gateway.py
+++ b/tests/site/test_gateway.py
@@ -317,3 +317,27 @@
         group = deployment.gateways[0].directory.groups[SERVICE]
         await deployment.async_until(lambda: set(group.pools) == {"a", "b"})
         assert not deployment.store.promotions
+
+
+async def test_a_node_that_reaches_nothing_sends_its_clients_away() -> None:
+    """Guards against clients that stay at a node which can serve nobody."""
+    async with async_deploy(gateways=1) as deployment:
+        client = await deployment.async_connect("urgent")
+        gateway = deployment.gateways[0]
+        deployment.store.down = True
+        for member in deployment.members.values():
+            member.silent = True
+        await client.async_query("READ ward")
+        await deployment.async_until(lambda: not gateway.is_ready(), 2.0)
+        assert await client.async_read_line() == ""
+        deployment.store.down = False
+        await deployment.async_until(gateway.is_ready, 3.0)
+
+
+async def test_a_node_without_work_is_not_taken_for_isolated() -> None:
+    """Guards against a quiet night that empties a node."""
+    async with async_deploy(gateways=1) as deployment:
+        await deployment.async_connect("urgent")
+        for _ in range(60):
+            assert deployment.gateways[0].is_ready()
+            await asyncio.sleep(0.05)
