Look at a primary at once when another node has reported it

Change: a report makes all nodes ask the primary; 300 ms without an answer then count. The duty's lease is 1.0 s, renewed each 300 ms. Ruled out: fewer than half of the nodes; one zone must not replace a primary that the others reach.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -23,8 +23,8 @@
 
 NODE_LEASE_MS: Final = 4_000
 NODE_KEEP_MS: Final = 1_200
-DUTY_LEASE_MS: Final = 1_500
-DUTY_KEEP_MS: Final = 400
+DUTY_LEASE_MS: Final = 1_000
+DUTY_KEEP_MS: Final = 300
 # The holder orders nothing later than this after it has read that it still holds the duty; a new
 # holder orders nothing before that time has passed.
 DUTY_PROOF_MS: Final = 1_400
@@ -40,6 +40,9 @@
 # Members are asked for reports when the store has not confirmed the record for so long.
 CONFIRMATION_OVERDUE_MS: Final = STORE_PACE_MS + STORE_WATCH_MS + 50
 STATUS_TIMEOUT_MS: Final = 500
+# After another node has reported a primary, a shorter silence of it is enough for so long.
+CHALLENGE_MS: Final = 2_000
+CHALLENGE_PROBE_MS: Final = 100
 IDLE_LINK_MS: Final = 400
 # Members keep the connections of lost machines for three seconds; meanwhile nodes take only what
 # they need, so that each of them finds a connection after a restart of all.
--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -277,7 +277,11 @@
         if isinstance(decoded, Err):
             self._app.events.write(DOCUMENT_UNUSABLE, key=item.key, reason=decoded.err_value)
             return
-        self.suspicions[item.key] = decoded.ok_value
+        suspicion = decoded.ok_value
+        self.suspicions[item.key] = suspicion
+        group = self.groups.get(suspicion.service)
+        if group is not None and suspicion.node != self._node:
+            group.challenge(suspicion.member)
 
     def all_stopped(self, service: str, epoch: int, revision: int) -> bool:
         """Return whether no node can still use the primary that led before `epoch`.
--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -15,6 +15,8 @@
 from burdockrun_statements import Commit
 
 from burdockrun_gateway.const import (
+    CHALLENGE_MS,
+    CHALLENGE_PROBE_MS,
     CONFIRMATION_OVERDUE_MS,
     MEMBER_REACHED,
     MEMBER_SUSPECTED,
@@ -22,6 +24,8 @@
     PRIMARY_LEARNED,
     PROBE_INTERVAL_MS,
     REPORT_INTERVAL_MS,
+    SILENCE_MS,
+    SUSPECT_SILENCE_MS,
 )
 from burdockrun_gateway.pools import MemberPool
 from burdockrun_gateway.ports import MemberConnector
@@ -38,6 +42,7 @@
         self.watermarks = Watermarks()
         self.pools: dict[str, MemberPool] = {}
         self.suspected = ""
+        self._challenged_until_ms = 0
         self._leading = ""
         self._ending = False
         self.changed = asyncio.Event()
@@ -100,6 +105,12 @@
         if not had_grant:
             self._notify()
 
+    def challenge(self, member_id: str) -> None:
+        """Look at the primary at once, since another node cannot reach it."""
+        record = self.authority.record
+        if record is not None and record.primary == member_id:
+            self._challenged_until_ms = self._app.clock.now_ms() + CHALLENGE_MS
+
     def needs_change(self) -> bool:
         """Return whether the primary is lost, or its replacement is under way."""
         record = self.authority.record
@@ -163,17 +174,17 @@
         now_ms = self._app.clock.now_ms()
         record = self.authority.record
         primary = record.primary if record is not None else ""
+        challenged = now_ms < self._challenged_until_ms
+        probe_ms = CHALLENGE_PROBE_MS if challenged else PROBE_INTERVAL_MS
         needs_reports = now_ms >= self.authority.record_sent_ms + CONFIRMATION_OVERDUE_MS
         for member_id, pool in self.pools.items():
             pool.tick()
-            interval_ms = REPORT_INTERVAL_MS if needs_reports else PROBE_INTERVAL_MS
-            quiet = needs_reports or (
-                member_id == primary and now_ms - pool.heard_ms >= PROBE_INTERVAL_MS
-            )
+            interval_ms = REPORT_INTERVAL_MS if needs_reports else probe_ms
+            quiet = needs_reports or (member_id == primary and now_ms - pool.heard_ms >= probe_ms)
             if quiet and now_ms - self._asked_ms.get(member_id, 0) >= interval_ms:
                 self._asked_ms[member_id] = now_ms
                 self._spawn(pool)
-        self._note_suspicion(primary)
+        self._note_suspicion(primary, SUSPECT_SILENCE_MS if challenged else SILENCE_MS)
         self._note_lead(now_ms)
 
     def close(self) -> None:
@@ -198,9 +209,9 @@
         if not had_primary and self.authority.primary(self._app.clock.now_ms()):
             self._notify()
 
-    def _note_suspicion(self, primary: str) -> None:
+    def _note_suspicion(self, primary: str, silence_ms: int) -> None:
         pool = self.pools.get(primary)
-        suspected = primary if pool is not None and pool.is_lost() else ""
+        suspected = primary if pool is not None and pool.is_waiting_longer(silence_ms) else ""
         if suspected == self.suspected:
             return
         event = MEMBER_SUSPECTED if suspected else MEMBER_REACHED
--- a/libs/gateway/burdockrun_gateway/reports.py
+++ b/libs/gateway/burdockrun_gateway/reports.py
@@ -52,6 +52,7 @@
         writes = [Write(key=key, value=dump_suspicion(suspicion))] if suspected else []
         if await self._async_commit(writes, [] if suspected else [key]):
             self._suspected[service] = suspected
+            self._directory.hint_all()
 
     async def _async_commit(self, writes: Sequence[Write], removes: Sequence[str] = ()) -> bool:
         result = await self._store.async_commit({}, writes, removes)
--- a/tests/site/test_gateway.py
+++ b/tests/site/test_gateway.py
@@ -341,3 +341,21 @@
         for _ in range(60):
             assert deployment.gateways[0].is_ready()
             await asyncio.sleep(0.05)
+
+
+async def test_a_node_without_work_at_a_silent_primary_soon_agrees() -> None:
+    """Guards against a majority that waits for the nodes with little work."""
+    async with async_deploy(gateways=3) as deployment:
+        client = await deployment.async_connect("urgent")
+        await client.async_query("READ ward")
+        deployment.members["a"].silent = True
+        started = asyncio.get_running_loop().time()
+        asyncio.create_task(client.async_query("READ ward"))  # noqa: RUF006
+        groups = [gateway.directory.groups[SERVICE] for gateway in deployment.gateways]
+        await deployment.async_until(
+            lambda: any(
+                group.authority.record is not None and group.authority.record.primary != "a"
+                for group in groups
+            )
+        )
+        assert asyncio.get_running_loop().time() - started < 1.3
