Wait for all replicas of a synchronous service before one is promoted

Cause: with SyncReplicas 1 a commit may be on any one replica; a majority of five members can miss it. Change: for such services all listed replicas must answer, and a planned change waits for one that has all. Also removed: values that nothing reads; the log stream closes without a stack trace at exit.

--- a/libs/base/burdockrun_base/log_budget.py
+++ b/libs/base/burdockrun_base/log_budget.py
@@ -78,3 +78,6 @@
 
     def flush(self) -> None:
         """Do nothing; every write goes to the descriptor at once."""
+
+    def close(self) -> None:
+        """Leave the descriptor open, as it belongs to the process."""
--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -66,7 +66,6 @@
 DEFAULT_MEMBER_MS: Final = 12.0
 OTHER_DOMAIN_MS: Final = 10.0
 ESTIMATE_WEIGHT: Final = 0.1
-DEFAULT_LAG_MS: Final = 30
 # A replica that has refused a read as too new is not tried on mere likelihood for so long.
 LAGGING_MS: Final = 500
 
--- a/libs/gateway/burdockrun_gateway/leases.py
+++ b/libs/gateway/burdockrun_gateway/leases.py
@@ -127,7 +127,7 @@
         self._key = LeasedKey(app, store, DUTY_KEY, node.encode(), DUTY_LEASE_MS)
         self._taken_ms = 0
         self._held = False
-        self.declined = False
+        self._declined = False
 
     def fence(self) -> int:
         """Return the number that grows with each holder."""
@@ -156,7 +156,7 @@
         while True:
             if self._directory.copy.loaded and self._directory.duty_item() is None:
                 await asyncio.sleep(self._rng.uniform(0, STORE_RETRY_MS) / 1000)
-                if self._directory.duty_item() is None and not self.declined:
+                if self._directory.duty_item() is None and not self._declined:
                     await self._async_take()
             if self._held:
                 await self._async_keep()
@@ -190,7 +190,7 @@
 
     async def async_release(self) -> None:
         """Give the duty up."""
-        self.declined = True
+        self._declined = True
         if self._held:
             self._held = False
             await self._key.async_release()
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -19,7 +19,6 @@
 from burdockrun_gateway.const import (
     CONNECT_TIMEOUT_MS,
     CONNECTION_LIMIT_DELAY_MS,
-    DEFAULT_LAG_MS,
     DEFAULT_MEMBER_MS,
     ESTIMATE_WEIGHT,
     IDLE_LINK_MS,
@@ -55,8 +54,6 @@
         self.quota = 1
         self.warm = 1
         self.position: LogPosition | None = None
-        self.position_ms = 0
-        self.lag_ms = DEFAULT_LAG_MS
         self._lagging_until_ms = 0
         self._same_domain = same_domain
         self.heard_ms = app.clock.now_ms()
@@ -192,7 +189,6 @@
         status = self._read_status(answer) if answer is not None else None
         if status is None:
             return None
-        self.lag_ms = status.lag_ms
         return status, sent_ms
 
     def tick(self) -> None:
@@ -336,5 +332,4 @@
         if position is None:
             return
         self.position = position
-        self.position_ms = self._app.clock.now_ms()
         self._on_position(self, position, sent_ms)
--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -241,8 +241,16 @@
         )
         if 2 * len(statuses) <= len(group.authority.members):
             raise _AbandonedError("no majority of the members can be held")
+        others = set(group.authority.members) - {record.previous}
+        if self._is_synchronous(group) and not others <= set(statuses):
+            raise _AbandonedError("a replica that may have the last commits does not answer")
         return statuses
 
+    def _is_synchronous(self, group: Group) -> bool:
+        """Return whether each acknowledged commit is in the log of some replica."""
+        limits = self._directory.configuration.services.get(group.service)
+        return limits is not None and limits.synchronous
+
     async def _async_statuses(self, group: Group, avoid: str) -> dict[str, MemberStatus]:
         return await self._async_ask(group, avoid, Statement(kind=StatementKind.STATUS))
 
@@ -268,6 +276,8 @@
             if successor and statuses[successor].received.has_reached(final):
                 return statuses
             if self._app.clock.now_ms() >= until_ms:
+                if self._is_synchronous(group):
+                    raise _AbandonedError("no replica has all that the old primary had")
                 return statuses
             await asyncio.sleep(PROMOTION_POLL_MS / 1000)
 
--- a/libs/groups/burdockrun_groups/watermarks.py
+++ b/libs/groups/burdockrun_groups/watermarks.py
@@ -58,10 +58,6 @@
                 return
         self.samples.append(_Sample(sent_ms, position))
 
-    def newest_ms(self) -> int | None:
-        """Return when the newest sample was asked for."""
-        return self.samples[-1].sent_ms if self.samples else None
-
     def newest(self) -> LogPosition | None:
         """Return the newest position."""
         return self.samples[-1].position if self.samples else None
--- a/tests/base/test_log_budget.py
+++ b/tests/base/test_log_budget.py
@@ -1,6 +1,8 @@
 """Tests of the bounds on logging."""
 
 import os
+import subprocess
+import sys
 
 from burdockrun_base import LogBudget, LossyStream
 
@@ -31,3 +33,13 @@
     assert lines[0] == "line 0"
     assert lines[-1] == "the end"
     assert all(line.startswith("line ") for line in lines[:-1])
+
+
+def test_a_program_ends_without_a_word_from_its_log() -> None:
+    """Guards against a stack trace at each stop."""
+    code = (
+        "from burdockrun_base import SystemClock, set_up_bounded_logs;"
+        "set_up_bounded_logs(SystemClock(), {})"
+    )
+    ended = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert ended.stderr == ""
--- a/tests/site/common.py
+++ b/tests/site/common.py
@@ -125,7 +125,13 @@
             await member.async_stop()
         await self.store.async_stop()
 
-    def configure(self, version: int, *, databases: tuple[str, ...] = ("urgent", "visits")) -> None:
+    def configure(
+        self,
+        version: int,
+        *,
+        databases: tuple[str, ...] = ("urgent", "visits"),
+        synchronous: int = 0,
+    ) -> None:
         """Put a configuration in force: `urgent` is read at the primary, `visits` by session."""
         kinds = {"urgent": "primary", "visits": "session", "lookups": "bounded"}
         routes = [
@@ -141,7 +147,7 @@
             }
             for name in databases
         ]
-        services = [{"Name": SERVICE, "MaxConns": 16, "SyncReplicas": 0}]
+        services = [{"Name": SERVICE, "MaxConns": 16, "SyncReplicas": synchronous}]
         self.store.put(
             "op/config",
             {"Version": version, "Routes": routes, "Services": services, "Limits": {}},
--- a/tests/site/test_gateway.py
+++ b/tests/site/test_gateway.py
@@ -359,3 +359,18 @@
             )
         )
         assert asyncio.get_running_loop().time() - started < 1.3
+
+
+async def test_a_synchronous_service_waits_for_all_replicas_that_may_have_a_commit() -> None:
+    """Guards against an acknowledged commit that the next primary lacks."""
+    async with async_deploy() as deployment:
+        deployment.configure(9, synchronous=1)
+        directory = deployment.gateways[0].directory
+        await deployment.async_until(lambda: directory.configuration.version == 9)
+        await deployment.members["c"].async_stop()
+        await deployment.members["a"].async_stop()
+        await asyncio.sleep(2.5)
+        assert not deployment.store.promotions
+        deployment.store.remove("servers/a")
+        deployment.store.remove("servers/c")
+        await deployment.async_until(lambda: deployment.members["b"].primary)
