Probe primaries after 1 s of silence and ask the store each second

Ruled out: longer grants. Change: PROBE_INTERVAL_MS 600 -> 1000, STORE_PACE_MS 900 -> 1000, no alert before the first record.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -12,7 +12,7 @@
 DUTY_KEY: Final = "burdockrun/duty"
 
 # Pace of questions to the store; at least one is answered within each grant.
-STORE_PACE_MS: Final = 900
+STORE_PACE_MS: Final = 1_000
 STORE_HURRIED_PACE_MS: Final = 20
 # Pace while a primary is lost or being replaced, when the next step may come from any node.
 STORE_ALERT_PACE_MS: Final = 150
@@ -35,7 +35,7 @@
 RECONNECT_DELAY_MS: Final = 100
 CONNECTION_LIMIT_DELAY_MS: Final = 250
 SILENCE_MS: Final = 600
-PROBE_INTERVAL_MS: Final = 600
+PROBE_INTERVAL_MS: Final = 1_000
 REPORT_INTERVAL_MS: Final = 500
 # Members are asked for reports when the store has not confirmed the record for so long.
 CONFIRMATION_OVERDUE_MS: Final = STORE_PACE_MS + STORE_WATCH_MS + 50
--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -114,7 +114,9 @@
     def needs_change(self) -> bool:
         """Return whether the primary is lost, or its replacement is under way."""
         record = self.authority.record
-        unsettled = record is None or not record.primary or not record.promoted or record.ending
+        if record is None:
+            return False
+        unsettled = not record.primary or not record.promoted or record.ending
         return unsettled or bool(self.suspected)
 
     def primary_pool(self) -> MemberPool | None:
