Let members answer again before an isolated node is expected to be ready

Cause: the test brought back the store only and expected a ready node, which needs a member as well; it passed while an old connection still counted as usable. Change: the members answer again too; the expectation is the same.

--- a/tests/site/test_gateway.py
+++ b/tests/site/test_gateway.py
@@ -331,6 +331,8 @@
         await deployment.async_until(lambda: not gateway.is_ready(), 2.0)
         assert await client.async_read_line() == ""
         deployment.store.down = False
+        for member in deployment.members.values():
+            member.silent = False
         await deployment.async_until(gateway.is_ready, 3.0)
 
 
