Take one connection to a member after a start

Ruled out: fewer connections in calm times; the members' limit of 30 leaves enough for one each. Change: for 1.2 s after a start or a refusal one connection a member.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -44,9 +44,9 @@
 CHALLENGE_MS: Final = 2_000
 CHALLENGE_PROBE_MS: Final = 100
 IDLE_LINK_MS: Final = 400
-# Members keep the connections of lost machines for three seconds; meanwhile nodes take only what
-# they need, so that each of them finds a connection after a restart of all.
-RESTRAINED_MS: Final = 4_000
+# Members keep the connections of lost machines for three seconds. After a start or a refusal a node
+# takes one connection to a member for so long, so that each node finds one after a restart of all.
+RESTRAINED_MS: Final = 1_200
 TICK_MS: Final = 50
 
 # Wait for a connection before a request is refused, as a share of its route's target.
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -209,7 +209,7 @@
             link = self._idle.pop(0)
             link.close()
             self._drop(link)
-        if len(self._links) + self._opening < self.warm:
+        if len(self._links) + self._opening < min(self.warm, self._allowed()):
             self._open_more()
 
     def withdraw(self) -> None:
@@ -262,9 +262,9 @@
         return False
 
     def _allowed(self) -> int:
-        """Return how many connections this node may have now."""
+        """Return how many connections this node may open now."""
         restrained = self._app.clock.now_ms() < self._restrained_until_ms
-        return min(self.warm, self.quota) if restrained else self.quota
+        return 1 if restrained else self.quota
 
     def _open_more(self) -> None:
         if len(self._links) + self._opening >= self._allowed() or self.closed:
--- a/tests/site/test_gateway.py
+++ b/tests/site/test_gateway.py
@@ -376,3 +376,23 @@
         deployment.store.remove("servers/a")
         deployment.store.remove("servers/c")
         await deployment.async_until(lambda: deployment.members["b"].primary)
+
+
+async def test_each_node_finds_a_connection_after_a_restart_of_all() -> None:
+    """Guards against nodes that take what others need while members keep dead connections."""
+    async with async_deploy(gateways=0) as deployment:
+        primary = deployment.members["a"]
+        held = []
+        for _ in range(14):
+            reader, writer = await asyncio.open_connection("127.0.0.1", primary.port)
+            writer.write(f"CONNECT {SERVICE} lost a\r\n".encode())
+            assert (await reader.readline()).startswith(b"READY")
+            held.append(writer)
+        for name in ("node-1", "node-2"):
+            await deployment.async_add_gateway(name)
+            await asyncio.sleep(0.5)
+        await deployment.async_until(
+            lambda: all(deployment.is_serving(one) for one in deployment.gateways), 3.0
+        )
+        for writer in held:
+            writer.close()
