--- a/tests/site/common.py
+++ b/tests/site/common.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from random import Random
 
-from burdockrun_base import FORMAT_JSON, Application, EventLog
+from burdockrun_base import FORMAT_JSON, Application, EventLog, SystemClock
 from burdockrun_gateway import Gateway
 from burdockrun_groups import NodeEntry
 from burdockrun_site.clients import ClientConnection
@@ -44,10 +44,15 @@
             if lines[-1].startswith("READY") or not lines[-1]:
                 return lines
 
+    @property
+    def last_id(self) -> str:
+        """Return the id of the last query."""
+        return f"q{id(self)}-{self._next_id}"
+
     async def async_query(self, text: str) -> list[str]:
         """Send a query and return the messages of its answer."""
         self._next_id += 1
-        return await self.async_send(f"QUERY q{id(self)}-{self._next_id} {text}")
+        return await self.async_send(f"QUERY {self.last_id} {text}")
 
     async def async_write(self, data: bytes) -> None:
         """Send bytes."""
@@ -84,7 +89,9 @@
 
     async def async_add_gateway(self, node: str) -> Gateway:
         """Start one gateway."""
-        app = Application(events=EventLog(FORMAT_JSON))
+        clock = SystemClock()
+        events = EventLog(FORMAT_JSON, clock=clock, common={"node": node})
+        app = Application(clock=clock, events=events)
         address = f"127.0.0.1:{self.store.port}"
         store, duty = PlatformStore(address), PlatformDuty(address)
         hints = HintPort()
--- a/tests/site/members.py
+++ b/tests/site/members.py
@@ -54,6 +54,7 @@
         self.runs: list[Run] = []
         self.lose_answer_to = ""
         self.silent = False
+        self.delay_s = 0.0
         self.most_connections = 0
         self.peers: list[StandInMember] = []
         self.port = 0
@@ -129,6 +130,7 @@
                 self.lose_answer_to = ""
                 writer.transport.abort()
                 return
+            await asyncio.sleep(self.delay_s)
             ready = f"READY {session.state} {self.position(applied=True)}"
             writer.write("".join(f"{part}\r\n" for part in [*answer, ready]).encode())
 
--- /dev/null
+++ b/tests/site/test_explain.py
@@ -0,0 +1,71 @@
+"""Causes of failed requests, found from the gateways' logs alone."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from burdockrun_control.program import main
+
+from tests.site.common import async_deploy, error_of
+
+
+def explain(
+    request: str,
+    caplog: pytest.LogCaptureFixture,
+    capsys: pytest.CaptureFixture[str],
+    folder: Path,
+) -> str:
+    """Return what the command says about a request from the lines logged so far."""
+    log = folder / "gateway.log"
+    log.write_text("\n".join(record.getMessage() for record in caplog.records))
+    capsys.readouterr()
+    assert main(["explain", request, "--log", str(log)]) == 0
+    return capsys.readouterr().out
+
+
+async def test_a_refusal_while_a_primary_is_replaced(
+    caplog: pytest.LogCaptureFixture, capsys: pytest.CaptureFixture[str], tmp_path: Path
+) -> None:
+    """Guards against a refusal that does not lead to the dead primary."""
+    caplog.set_level("INFO")
+    async with async_deploy() as deployment:
+        client = await deployment.async_connect("urgent")
+        deployment.store.promote_delay_s = 2.0
+        await deployment.members["a"].async_stop()
+        # A write on a connection whose end is not yet noticed would be in doubt.
+        await asyncio.sleep(0.1)
+        assert error_of(await client.async_query("WRITE ward v1")) == "BUSY"
+        refused = client.last_id
+        await deployment.async_until_done(client, "WRITE ward v2")
+        shown = explain(refused, caplog, capsys, tmp_path)
+    assert "* " in shown and "request_refused" in shown
+    assert "link_lost member=a reason=refused" in shown
+    assert "primary_learned service=wendedb primary= " in shown
+
+
+async def test_an_open_outcome_after_a_lost_answer(
+    caplog: pytest.LogCaptureFixture, capsys: pytest.CaptureFixture[str], tmp_path: Path
+) -> None:
+    """Guards against an open outcome that does not lead to the lost connection."""
+    caplog.set_level("INFO")
+    async with async_deploy(gateways=1) as deployment:
+        client = await deployment.async_connect("urgent")
+        deployment.members["a"].lose_answer_to = "WRITE"
+        assert error_of(await client.async_query("WRITE ward v1")) == "INDOUBT"
+        shown = explain(client.last_id, caplog, capsys, tmp_path)
+    assert "request_unresolved" in shown and "code=in_doubt" in shown
+    assert "link_lost member=a reason=ended" in shown
+
+
+async def test_a_late_answer_of_a_slow_member(
+    caplog: pytest.LogCaptureFixture, capsys: pytest.CaptureFixture[str], tmp_path: Path
+) -> None:
+    """Guards against a late answer that does not tell a wait from a slow member."""
+    caplog.set_level("INFO")
+    async with async_deploy(gateways=1) as deployment:
+        client = await deployment.async_connect("urgent")
+        deployment.members["a"].delay_s = 0.4
+        assert error_of(await client.async_query("WRITE ward v1")) == ""
+        shown = explain(client.last_id, caplog, capsys, tmp_path)
+    late = next(line for line in shown.splitlines() if "request_late" in line)
+    assert "waited_ms=0" in late and "member=a" in late and "target_ms=250" in late
