Build records of a change from the one before, and keep one rule for newer records

Cause: the supervisor wrote out five group records field by field, two of them the same; authority and group each had the rule which record is newer. Change: records are derived with dataclasses.replace or by one function that names no primary; the rule stands in Authority.learn_record.

--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -85,7 +85,7 @@
     def set_record(self, record: GroupRecord) -> None:
         """Learn the agreed primary."""
         known = self.authority.record
-        if known is not None and record.epoch < known.epoch:
+        if not self.authority.learn_record(record):
             return
         if known is None or (known.primary, known.epoch) != (record.primary, record.epoch):
             self._app.events.write(
@@ -95,7 +95,6 @@
                 epoch=record.epoch,
                 previous=record.previous,
             )
-        self.authority.record = record
         self._notify()
 
     def confirm_record(self, sent_ms: int) -> None:
--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -1,6 +1,7 @@
 """Replaces primaries while this node holds the promotion duty."""
 
 import asyncio
+from dataclasses import replace
 
 from burdockrun_base import Application, LogPosition
 from burdockrun_groups import (
@@ -123,17 +124,7 @@
             record = await self._async_announce(group, record)
         if record.primary:
             term = await self._async_newest_term(group, record) + 1
-            record = await self._async_write(
-                group,
-                GroupRecord(
-                    service=group.service,
-                    primary="",
-                    epoch=record.epoch + 1,
-                    previous=record.primary,
-                    held_term=max(term, record.held_term),
-                    promoted=False,
-                ),
-            )
+            record = await self._async_write(group, _stop(record, max(term, record.held_term)))
         final = await self._async_stop_previous(group, record)
         if final is None:
             statuses = await self._async_hold_majority(group, record)
@@ -151,13 +142,10 @@
             successor = await self._async_fall_back(group, record)
         assigned = await self._async_write(
             group,
-            GroupRecord(
-                service=group.service,
+            replace(
+                record,
                 primary=successor,
                 epoch=record.epoch + 1,
-                previous=record.previous,
-                held_term=record.held_term,
-                promoted=False,
                 floor=statuses[successor].received if successor in statuses else None,
             ),
         )
@@ -165,18 +153,7 @@
 
     async def _async_announce(self, group: Group, record: GroupRecord) -> GroupRecord:
         """Tell all nodes that the primary will be stopped, and wait until they know."""
-        announced = await self._async_write(
-            group,
-            GroupRecord(
-                service=group.service,
-                primary=record.primary,
-                epoch=record.epoch,
-                previous=record.previous,
-                held_term=record.held_term,
-                ending=True,
-                floor=record.floor,
-            ),
-        )
+        announced = await self._async_write(group, replace(record, ending=True))
         await asyncio.sleep((GRANT_MS + GRANT_MARGIN_MS) / 1000)
         return announced
 
@@ -327,31 +304,11 @@
         await asyncio.gather(
             *(pool.async_status(Statement(kind=StatementKind.RESUME)) for pool in others)
         )
-        await self._async_write(
-            group,
-            GroupRecord(
-                service=group.service,
-                primary=record.primary,
-                epoch=record.epoch,
-                previous=record.previous,
-                held_term=record.held_term,
-                floor=record.floor,
-            ),
-        )
+        await self._async_write(group, replace(record, promoted=True))
 
     async def _async_give_up(self, group: Group, record: GroupRecord) -> None:
         """Take back a successor that does not lead."""
-        await self._async_write(
-            group,
-            GroupRecord(
-                service=group.service,
-                primary="",
-                epoch=record.epoch + 1,
-                previous=record.primary,
-                held_term=record.held_term,
-                promoted=False,
-            ),
-        )
+        await self._async_write(group, _stop(record, record.held_term))
 
     async def _async_write(self, group: Group, record: GroupRecord) -> GroupRecord:
         """Agree on a record, if nobody has changed it meanwhile."""
@@ -371,3 +328,15 @@
         """Return whether nothing listens at a member's address."""
         pool = group.pools.get(member)
         return pool is not None and pool.is_refused()
+
+
+def _stop(record: GroupRecord, held_term: int) -> GroupRecord:
+    """Return the record that follows `record` and names no primary."""
+    return GroupRecord(
+        service=record.service,
+        primary="",
+        epoch=record.epoch + 1,
+        previous=record.primary,
+        held_term=held_term,
+        promoted=False,
+    )
--- a/libs/groups/burdockrun_groups/authority.py
+++ b/libs/groups/burdockrun_groups/authority.py
@@ -30,10 +30,17 @@
     members: dict[str, MemberEntry] = field(default_factory=dict)
     reports: dict[str, _Report] = field(default_factory=dict)
 
+    def learn_record(self, record: GroupRecord) -> bool:
+        """Take over a record unless a newer one is known; returns whether it was taken over."""
+        if self.record is not None and record.epoch < self.record.epoch:
+            return False
+        self.record = record
+        return True
+
     def confirm_record(self, record: GroupRecord | None, sent_ms: int) -> None:
         """Note the agreed record as of a question sent at `sent_ms`."""
-        if record is not None and (self.record is None or record.epoch >= self.record.epoch):
-            self.record = record
+        if record is not None:
+            self.learn_record(record)
         self.record_sent_ms = max(self.record_sent_ms, sent_ms)
 
     def report(self, member_id: str, status: MemberStatus, sent_ms: int) -> None:
