Keep the promotion duty with the node that has taken it

Cause: after taking the duty a node looked for its key in its own copy of the store, which is asked once a second. It did not find it, asked for the duty again under a second lease, and kept that lease instead of the key's. Only a lost primary, which makes all nodes ask the store more often, let a holder stay. Ruled out: a revoked or lapsed lease (no disruption of the store at that time; a trace of all calls shows renewals of a lease that had been ended after a conflict); slow answers (13 to 19 ms). Change: a node asks for the duty only while it holds none; a lease is kept only with its key; what a node has written is in its copy at once, and older answers do not undo it. The loss of the duty is logged with its inputs. The test of hints waits for the node's registration, which used to be known by then.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -25,6 +25,8 @@
 NODE_KEEP_MS: Final = 1_200
 DUTY_LEASE_MS: Final = 1_000
 DUTY_KEEP_MS: Final = 300
+# Pace at which a node without the duty looks whether it is free, beside each change of the store.
+DUTY_WAIT_MS: Final = 500
 # The holder orders nothing later than this after it has read that it still holds the duty; a new
 # holder orders nothing before that time has passed.
 DUTY_PROOF_MS: Final = 1_400
--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -249,9 +249,7 @@
     def learn_record(self, record: GroupRecord, revision: int, value: bytes) -> None:
         """Take over a group's record that this node has written itself."""
         key = GROUPS_PREFIX + record.service
-        known = self.copy.items.get(key)
-        if known is None or known.revision < revision:
-            self.copy.items[key] = Item(key=key, revision=revision, value=value)
+        self.copy.note_written(Item(key=key, revision=revision, value=value))
         group = self.groups.get(record.service)
         if group is not None:
             group.set_record(record)
--- a/libs/gateway/burdockrun_gateway/leases.py
+++ b/libs/gateway/burdockrun_gateway/leases.py
@@ -14,6 +14,7 @@
     DUTY_LOST,
     DUTY_PROOF_MS,
     DUTY_TAKEN,
+    DUTY_WAIT_MS,
     NODE_KEEP_MS,
     NODE_LEASE_MS,
     NODES_PREFIX,
@@ -21,7 +22,7 @@
     STORE_RETRY_MS,
 )
 from burdockrun_gateway.directory import Directory
-from burdockrun_gateway.ports import SharedStore, StoreFault, Write
+from burdockrun_gateway.ports import Item, SharedStore, StoreFault, Write
 from burdockrun_gateway.records import dump_node
 
 
@@ -46,14 +47,15 @@
         granted = await self._store.async_grant_lease(self._lease_ms)
         if isinstance(granted, Err):
             return False
-        self._lease = granted.ok_value
+        lease = granted.ok_value
         expected = {} if expected_revision is None else {self._key: expected_revision}
         written = await self._store.async_commit(
-            expected, [Write(key=self._key, value=self._value, lease=self._lease)]
+            expected, [Write(key=self._key, value=self._value, lease=lease)]
         )
         if isinstance(written, Err):
-            await self._store.async_end_lease(self._lease)
+            await self._store.async_end_lease(lease)
             return False
+        self._lease = lease
         self.revision = written.ok_value
         self.until_ms = sent_ms + self._lease_ms
         return True
@@ -154,18 +156,25 @@
     async def async_run(self) -> None:
         """Take the duty when nobody holds it, and keep it."""
         while True:
-            if self._directory.copy.loaded and self._directory.duty_item() is None:
-                await asyncio.sleep(self._rng.uniform(0, STORE_RETRY_MS) / 1000)
-                if self._directory.duty_item() is None and not self._declined:
-                    await self._async_take()
             if self._held:
                 await self._async_keep()
-                continue
-            try:
-                async with asyncio.timeout(0.5):
-                    await self._directory.changed.wait()
-            except TimeoutError:
-                continue
+            elif self._may_be_free():
+                await asyncio.sleep(self._rng.uniform(0, STORE_RETRY_MS) / 1000)
+                if self._may_be_free():
+                    await self._async_take()
+            else:
+                await self._async_wait()
+
+    def _may_be_free(self) -> bool:
+        loaded = self._directory.copy.loaded and not self._declined
+        return loaded and self._directory.duty_item() is None
+
+    async def _async_wait(self) -> None:
+        try:
+            async with asyncio.timeout(DUTY_WAIT_MS / 1000):
+                await self._directory.changed.wait()
+        except TimeoutError:
+            return
 
     async def _async_take(self) -> None:
         if not await self._key.async_take(0):
@@ -173,6 +182,10 @@
             return
         self._taken_ms = self._app.clock.now_ms()
         self._held = True
+        revision = self._key.revision
+        self._directory.copy.note_written(
+            Item(key=DUTY_KEY, revision=revision, created=revision, value=self.node.encode())
+        )
         self._app.events.write(DUTY_TAKEN, fence=self._key.revision)
 
     async def _async_keep(self) -> None:
@@ -182,7 +195,13 @@
         lost_key = now_ms > self._taken_ms + DUTY_PROOF_MS and not self._still_listed()
         if fault is StoreFault.LEASE_ENDED or now_ms >= self._key.until_ms or lost_key:
             self._held = False
-            self._app.events.write(DUTY_LOST, fence=self._key.revision)
+            self._app.events.write(
+                DUTY_LOST,
+                fence=self._key.revision,
+                held_ms=now_ms - self._taken_ms,
+                overdue_ms=now_ms - self._key.until_ms,
+                reason=fault.value if fault is not None else "not listed" if lost_key else "lapsed",
+            )
 
     def _still_listed(self) -> bool:
         item = self._directory.duty_item()
--- a/libs/gateway/burdockrun_gateway/mirror.py
+++ b/libs/gateway/burdockrun_gateway/mirror.py
@@ -1,7 +1,7 @@
 """Copy of the shared store that is kept up to date."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
 from burdockrun_base import Application
@@ -70,6 +70,11 @@
         """Ask the store at once, since something has changed there."""
         self._wake.set()
 
+    def note_written(self, item: Item) -> None:
+        """Take over an item that this node has written, ahead of the next answer."""
+        if self._is_news(item):
+            self.items[item.key] = item
+
     async def async_run(self) -> None:
         """Follow the store until cancelled."""
         delay_ms = 0.0
@@ -107,17 +112,15 @@
         if isinstance(listed, Err):
             return listed.err_value
         listing = listed.ok_value
-        found = {item.key: item for item in listing.items}
-        gone = [Item(key=key, revision=listing.as_of) for key in self.items if key not in found]
-        changed = [
-            item
-            for item in listing.items
-            if (known := self.items.get(item.key)) is None or known.revision != item.revision
+        found = {item.key for item in listing.items}
+        gone = [
+            Item(key=key, revision=listing.as_of)
+            for key, known in self.items.items()
+            if key not in found and known.revision <= listing.as_of
         ]
-        self.items = found
         self.as_of = listing.as_of
         self.loaded = True
-        self._on_change(gone + changed)
+        self._on_change(self._take_over([*gone, *listing.items]))
         return None
 
     async def _async_watch(self) -> StoreFault | None:
@@ -126,14 +129,27 @@
             return watched.err_value
         listing = watched.ok_value
         self.as_of = max(self.as_of, listing.as_of)
-        for item in listing.items:
+        changed = self._take_over(listing.items)
+        if changed:
+            self._on_change(changed)
+        return None
+
+    def _take_over(self, items: Iterable[Item]) -> list[Item]:
+        """Bring the copy up to date and return the items that were news to it."""
+        changed = [item for item in items if self._is_news(item)]
+        for item in changed:
             if item.value is None:
                 self.items.pop(item.key, None)
             else:
                 self.items[item.key] = item
-        if listing.items:
-            self._on_change(list(listing.items))
-        return None
+        return changed
+
+    def _is_news(self, item: Item) -> bool:
+        """Return whether an item is newer than the copy, which has what this node wrote itself."""
+        known = self.items.get(item.key)
+        if known is None or known.revision < item.revision:
+            return True
+        return item.value is None and known.revision == item.revision
 
     def _confirm(self, sent_ms: int) -> None:
         if self.failed_ms is not None and (
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -45,16 +45,27 @@
     return Ok(Listing(items=items, as_of=as_of))
 
 
-async def async_follow(replies: list[tuple[str, Reply]]) -> tuple[Mirror, list[list[str]], int]:
-    """Return the mirror after the script, the keys of each change, and the confirmations."""
+async def async_follow(
+    replies: list[tuple[str, Reply]], *, written: Item | None = None
+) -> tuple[Mirror, list[list[str]], int]:
+    """Return the mirror after the script, the keys of each change, and the confirmations.
+
+    The node itself writes `written` after the first change.
+    """
     store = ScriptedStore(replies)
     changes: list[list[str]] = []
     confirmed: list[int] = []
+
+    def handle_change(items: list[Item]) -> None:
+        changes.append([one.key for one in items])
+        if written is not None and len(changes) == 1:
+            mirror.note_written(written)
+
     mirror = Mirror(
         Application(),
         store,  # type: ignore[arg-type]
         rng=Random(1),
-        on_change=lambda items: changes.append([one.key for one in items]),
+        on_change=handle_change,
         on_confirmed=confirmed.append,
     )
     task = asyncio.create_task(mirror.async_run())
@@ -97,3 +108,34 @@
         [("list", listing(5, item("p/a", 3))), ("watch", listing(6, item("p/a", 6, None)))]
     )
     assert mirror.items == {}
+
+
+async def test_answers_from_before_an_own_write_do_not_undo_it() -> None:
+    """Guards against a record that goes back when an older answer arrives after a write."""
+    own = item("p/a", 9, b"own")
+    mirror, changes, _ = await async_follow(
+        [
+            ("list", listing(5, item("p/a", 3))),
+            ("watch", listing(7, item("p/a", 7, b"old"))),
+            ("watch", listing(8, item("p/a", 8, None))),
+            ("watch", Err(StoreFault.COMPACTED)),
+            ("list", listing(8)),
+            ("watch", listing(9, own)),
+        ],
+        written=own,
+    )
+    assert mirror.items == {"p/a": own}
+    assert changes[0] == ["p/a"]
+    assert [key for keys in changes[1:] for key in keys] == []
+
+
+async def test_an_own_write_can_be_removed_later() -> None:
+    """Guards against a key that stays known after its lease has ended."""
+    mirror, _, _ = await async_follow(
+        [
+            ("list", listing(5, item("p/a", 3))),
+            ("watch", listing(10, item("p/a", 10, None))),
+        ],
+        written=item("p/a", 9, b"own"),
+    )
+    assert mirror.items == {}
--- a/tests/site/test_gateway.py
+++ b/tests/site/test_gateway.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 import pytest
-from burdockrun_gateway.const import RESTRAINED_MS
+from burdockrun_gateway.const import DUTY_KEY, RESTRAINED_MS
 from burdockrun_site.members import LineConnector
 from result import Ok
 
@@ -366,6 +366,20 @@
         assert asyncio.get_running_loop().time() - started < 1.3
 
 
+async def test_the_duty_stays_with_the_node_that_has_taken_it() -> None:
+    """Guards against a holder that keeps another lease than that of its key."""
+    async with async_deploy() as deployment:
+        first = deployment.store.entries[DUTY_KEY]
+        deployment.store.remove(DUTY_KEY)
+        fences = set()
+        for _ in range(50):
+            entry = deployment.store.entries.get(DUTY_KEY)
+            if entry is not None and entry is not first:
+                fences.add(entry.created)
+            await asyncio.sleep(0.1)
+        assert len(fences) == 1
+
+
 async def test_a_synchronous_service_waits_for_all_replicas_that_may_have_a_commit() -> None:
     """Guards against an acknowledged commit that the next primary lacks."""
     async with async_deploy() as deployment:
--- a/tests/site/test_hints.py
+++ b/tests/site/test_hints.py
@@ -36,6 +36,7 @@
     """Guards against a stranger on the peer port that spends calls of the store."""
     async with async_deploy(gateways=1) as deployment:
         directory = deployment.gateways[0].directory
+        await deployment.async_until(lambda: bool(directory.nodes))
         asked: list[str] = []
         directory.copy.hurry = lambda: asked.append("store")  # type: ignore[method-assign]
         directory.handle_hint("10.9.9.9")
