Open the ports of a starting node first, and let sessions wait for it

Change: the entry point listens before it loads the program; a session is opened once its own primary can be reached, or is known to turn this node away, at most 1 s after the start; a node asks the store at once after its registration; extra connections are closed after 100 ms without work.

--- a/libs/gateway/burdockrun_gateway/__init__.py
+++ b/libs/gateway/burdockrun_gateway/__init__.py
@@ -1,6 +1,7 @@
 """Gateway: client sessions on shared connections to the members of database groups."""
 
-from burdockrun_gateway.gateway import Gateway
+from burdockrun_gateway.const import RETRY_AFTER_MS
+from burdockrun_gateway.gateway import Gateway, SessionFault
 from burdockrun_gateway.ports import (
     ConnectFault,
     Connection,
@@ -18,6 +19,7 @@
 from burdockrun_gateway.relay import Relay
 
 __all__ = [
+    "RETRY_AFTER_MS",
     "ConnectFault",
     "Connection",
     "Documents",
@@ -29,6 +31,7 @@
     "Opened",
     "PromotionDuty",
     "Relay",
+    "SessionFault",
     "SharedStore",
     "StoreFault",
     "Write",
--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -45,7 +45,8 @@
 # After another node has reported a primary, a shorter silence of it is enough for so long.
 CHALLENGE_MS: Final = 2_000
 CHALLENGE_PROBE_MS: Final = 100
-IDLE_LINK_MS: Final = 400
+# Extra connections of a lost machine keep others out for seconds, so they are closed soon.
+IDLE_LINK_MS: Final = 100
 # Members keep the connections of lost machines for three seconds. After a start or a refusal a node
 # takes one connection to a member for so long, so that each node finds one after a restart of all.
 RESTRAINED_MS: Final = 1_200
@@ -76,6 +77,10 @@
 CATCH_UP_TIMEOUT_MS: Final = 500
 PROMOTION_RETRY_MS: Final = 300
 
+# Sessions are opened once all primaries can be reached, or so long after a start.
+START_HOLD_MS: Final = 1_000
+START_POLL_MS: Final = 10
+
 # The platform sends no new clients after two missed probes, one second apart.
 DRAIN_READY_MS: Final = 2_000
 DRAIN_HURRY_MS: Final = 3_200
--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -109,6 +109,17 @@
         """Return whether a configuration, members and agreed primaries are known."""
         return self.configuration.version > 0 and self.copy.loaded
 
+    def is_prepared(self, database: str) -> bool:
+        """Return whether waiting will not make a session of a database easier to serve."""
+        if self.configuration.version == 0:
+            return False
+        route = self.find_route(database)
+        group = self.find_group(route.service) if route is not None else None
+        pool = group.primary_pool() if group is not None else None
+        if group is None or pool is None:
+            return route is None
+        return pool.is_usable() or pool.is_turned_away()
+
     def is_settled(self) -> bool:
         """Return whether members that are missing from discovery are gone.
 
@@ -130,6 +141,15 @@
             self._spread_members()
             self._notify()
 
+    async def async_wait_changed(self, wait_ms: float) -> None:
+        """Wait until the store or the members have changed, at most for `wait_ms`."""
+        event = self.changed
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                await event.wait()
+        except TimeoutError:
+            return
+
     def group_revision(self, service: str) -> int:
         """Return the revision of a group's record, 0 when there is none."""
         item = self.copy.items.get(GROUPS_PREFIX + service)
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from enum import Enum
 from random import Random
 from typing import Any, Protocol
 
@@ -22,6 +23,8 @@
     ISOLATION_ENDED,
     QUIET_CLIENT_HURRY_MS,
     QUIET_CLIENT_MS,
+    START_HOLD_MS,
+    START_POLL_MS,
     TICK_MS,
 )
 from burdockrun_gateway.directory import Directory
@@ -33,6 +36,13 @@
 from burdockrun_gateway.supervisor import Supervisor
 
 
+class SessionFault(Enum):
+    """Why a session could not be opened."""
+
+    NO_DATABASE = "no_database"
+    STARTING = "starting"  # nothing is known yet
+
+
 class ClientChannel(Protocol):
     """Connection of a client."""
 
@@ -73,6 +83,7 @@
         self._isolation = Isolation(self.directory.copy)
         self._channels: set[ClientChannel] = set()
         self._tasks: list[asyncio.Task[None]] = []
+        self._started_ms = app.clock.now_ms()
 
     def start(self) -> None:
         """Start following the store and members."""
@@ -92,15 +103,24 @@
         groups = self.directory.groups.values()
         return any(pool.is_usable() for group in groups for pool in group.pools.values())
 
-    def open_session(self, database: str) -> Result[Relay, str]:
-        """Return a session of a database; Err when it does not exist or nothing is known yet."""
+    def open_session(self, database: str) -> Result[Relay, SessionFault]:
+        """Return a session of a database."""
+        if not self._is_start_over() and not self.directory.is_prepared(database):
+            return Err(SessionFault.STARTING)
+        if self.directory.configuration.version == 0:
+            return Err(SessionFault.STARTING)
         if self.directory.find_route(database) is None:
-            return Err(database)
+            return Err(SessionFault.NO_DATABASE)
         return Ok(Relay(self._app, self.directory, database))
 
-    def knows_configuration(self) -> bool:
-        """Return whether a configuration has been read since the start."""
-        return self.directory.configuration.version > 0
+    async def async_open_session(self, database: str) -> Result[Relay, SessionFault]:
+        """Return a session of a database, after a start as soon as it can be served."""
+        while not self._is_start_over() and not self.directory.is_prepared(database):
+            await self.directory.async_wait_changed(START_POLL_MS)
+        return self.open_session(database)
+
+    def _is_start_over(self) -> bool:
+        return self._app.clock.now_ms() >= self._started_ms + START_HOLD_MS
 
     def add_channel(self, channel: ClientChannel) -> None:
         """Count a client connection in."""
--- a/libs/gateway/burdockrun_gateway/leases.py
+++ b/libs/gateway/burdockrun_gateway/leases.py
@@ -93,6 +93,8 @@
             if not await self._key.async_take(None):
                 await asyncio.sleep(STORE_RETRY_MAX_MS / 1000)
                 continue
+            # Grants count from the first answer of the store that shows the registration.
+            self._directory.copy.hurry()
             while not self._is_gone():
                 await asyncio.sleep(NODE_KEEP_MS / 1000)
                 if await self._key.async_keep() is StoreFault.LEASE_ENDED:
@@ -163,19 +165,12 @@
                 if self._may_be_free():
                     await self._async_take()
             else:
-                await self._async_wait()
+                await self._directory.async_wait_changed(DUTY_WAIT_MS)
 
     def _may_be_free(self) -> bool:
         loaded = self._directory.copy.loaded and not self._declined
         return loaded and self._directory.duty_item() is None
 
-    async def _async_wait(self) -> None:
-        try:
-            async with asyncio.timeout(DUTY_WAIT_MS / 1000):
-                await self._directory.changed.wait()
-        except TimeoutError:
-            return
-
     async def _async_take(self) -> None:
         if not await self._key.async_take(0):
             await asyncio.sleep(STORE_RETRY_MS / 1000)
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -105,6 +105,10 @@
             return True
         return self.fault is not None and not self._links
 
+    def is_turned_away(self) -> bool:
+        """Return whether the member has no connection to spare for this node."""
+        return not self._links and self._app.clock.now_ms() < self._open_after_ms
+
     def is_refused(self) -> bool:
         """Return whether nothing listens at the member's address."""
         return self.fault is ConnectFault.REFUSED and not self._links
--- a/libs/gateway/burdockrun_gateway/reports.py
+++ b/libs/gateway/burdockrun_gateway/reports.py
@@ -26,17 +26,10 @@
     async def async_run(self) -> None:
         """Report changes until cancelled."""
         while True:
-            await self._async_wait()
+            await self._directory.async_wait_changed(TICK_MS)
             for service, group in list(self._directory.groups.items()):
                 await self._async_report(service, group)
 
-    async def _async_wait(self) -> None:
-        try:
-            async with asyncio.timeout(TICK_MS / 1000):
-                await self._directory.changed.wait()
-        except TimeoutError:
-            return
-
     async def _async_report(self, service: str, group: Group) -> None:
         record = group.authority.record
         stopped = record.epoch if record is not None and not record.primary else 0
--- a/tests/site/members.py
+++ b/tests/site/members.py
@@ -74,6 +74,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self._writers)
+
     def promote(self) -> None:
         """Lead the next term with what was received."""
         self.term = max(member.term for member in [self, *self.peers]) + 1
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -27,6 +27,7 @@
         self.revision = 1
         self.oldest = 0
         self.down = False
+        self.delay_s = 0.0
         self.lose_next_write = False
         self.promotions: list[tuple[str, str, int]] = []
         self.promote_delay_s = 0.05
@@ -107,13 +108,17 @@
         for key in [key for key, entry in self.entries.items() if entry.lease == lease]:
             self.remove(key)
 
+    async def _async_check(self) -> None:
+        await asyncio.sleep(self.delay_s)
+        self._check()
+
     def _check(self) -> None:
         if self.down:
             raise web.HTTPServiceUnavailable
         self._end_leases()
 
     async def _async_range(self, request: web.Request) -> web.Response:
-        self._check()
+        await self._async_check()
         prefix = request.query["Prefix"]
         items = [
             self._describe(key, entry)
@@ -149,7 +154,7 @@
                 continue
 
     async def _async_commit(self, request: web.Request) -> web.Response:
-        self._check()
+        await self._async_check()
         fields = await request.json()
         for row in fields["Expected"]:
             known = self.entries.get(row["Key"])
@@ -169,14 +174,14 @@
         return web.json_response({"Rev": self.revision})
 
     async def _async_lease(self, request: web.Request) -> web.Response:
-        self._check()
+        await self._async_check()
         length = (await request.json())["TtlMs"] / 1000
         lease = max(self._leases, default=100) + 1
         self._leases[lease] = (asyncio.get_running_loop().time() + length, length)
         return web.json_response({"Lease": lease, "TtlMs": length * 1000})
 
     async def _async_keep(self, request: web.Request) -> web.Response:
-        self._check()
+        await self._async_check()
         lease = int(request.match_info["id"])
         if lease not in self._leases:
             return web.json_response({}, status=404)
--- a/tests/site/test_gateway.py
+++ b/tests/site/test_gateway.py
@@ -2,14 +2,17 @@
 
 import asyncio
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 from burdockrun_gateway.const import DUTY_KEY, RESTRAINED_MS
+from burdockrun_site.listeners import open_listeners
 from burdockrun_site.members import LineConnector
+from burdockrun_site.program import EXIT_BAD_SETTINGS, run
 from result import Ok
 
 from tests.groups.common import build_entry
-from tests.site.common import SERVICE, async_deploy, error_of, rows_of
+from tests.site.common import SERVICE, Deployment, async_deploy, error_of, rows_of
 
 
 async def test_a_write_is_read_back_by_its_session() -> None:
@@ -395,16 +398,83 @@
         await deployment.async_until(lambda: deployment.members["b"].primary)
 
 
+async def test_a_caller_waits_for_a_node_that_starts() -> None:
+    """Guards against callers that are turned away in the first moments of a process."""
+    async with async_deploy(gateways=0) as deployment:
+        deployment.store.delay_s = 0.1
+        await deployment.async_add_gateway("node-1")
+        client = await deployment.async_connect("urgent")
+        assert error_of(await client.async_query("WRITE ward v1")) == ""
+
+
+async def test_a_caller_does_not_wait_for_ever_for_a_store_that_is_down() -> None:
+    """Guards against callers that are held by a node which knows nothing."""
+    async with async_deploy(gateways=0) as deployment:
+        deployment.store.down = True
+        await deployment.async_add_gateway("node-1")
+        client = await deployment.async_open()
+        started = asyncio.get_running_loop().time()
+        assert error_of(await client.async_send("CONNECT urgent u1")) == "BUSY"
+        assert asyncio.get_running_loop().time() - started < 1.5
+
+
+async def test_ports_listen_before_the_program_is_loaded(tmp_path: Path) -> None:
+    """Guards against connections that are refused while a process starts."""
+    settings = tmp_path / "node.toml"
+    settings.write_text('[Listen]\nFront = "127.0.0.1:18465"\nReady = "127.0.0.1:18466"\n')
+    listeners = open_listeners(settings)
+    assert listeners is not None
+    for port in (18_465, 18_466):
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.close()
+    for listener in listeners:
+        listener.close()
+    settings.write_text('[Listen]\nFront = "nowhere"\n')
+    assert open_listeners(settings) is None
+    assert run(settings, None) == EXIT_BAD_SETTINGS
+
+
+async def async_fill(deployment: Deployment, count: int) -> list[asyncio.StreamWriter]:
+    """Hold connections to the primary as a machine does that has lost its power."""
+    held = []
+    for _ in range(count):
+        reader, writer = await asyncio.open_connection("127.0.0.1", deployment.members["a"].port)
+        writer.write(f"CONNECT {SERVICE} lost a\r\n".encode())
+        assert (await reader.readline()).startswith(b"READY")
+        held.append(writer)
+    return held
+
+
+async def test_a_caller_is_not_held_by_a_node_that_its_primary_turns_away() -> None:
+    """Guards against callers that lose the time to go to another node."""
+    async with async_deploy(gateways=1) as deployment:
+        held = await async_fill(deployment, 14)
+        await deployment.async_add_gateway("node-2")
+        held += await async_fill(deployment, 16 - deployment.members["a"].connections())
+        await deployment.async_add_gateway("node-3")
+        started = asyncio.get_running_loop().time()
+        await deployment.async_connect("urgent", 2)
+        assert asyncio.get_running_loop().time() - started < 0.6
+        for writer in held:
+            writer.close()
+
+
+async def test_extra_connections_are_closed_soon_after_a_burst() -> None:
+    """Guards against connections of a lost machine that keep other nodes out."""
+    async with async_deploy(gateways=1) as deployment:
+        await asyncio.sleep(RESTRAINED_MS / 1000)
+        clients = [await deployment.async_connect("urgent") for _ in range(30)]
+        deployment.members["a"].delay_s = 0.02
+        await asyncio.gather(*(client.async_query("READ ward") for client in clients))
+        assert deployment.members["a"].most_connections > 8
+        await asyncio.sleep(0.3)
+        assert deployment.members["a"].connections() <= 8
+
+
 async def test_each_node_finds_a_connection_after_a_restart_of_all() -> None:
     """Guards against nodes that take what others need while members keep dead connections."""
     async with async_deploy(gateways=0) as deployment:
-        primary = deployment.members["a"]
-        held = []
-        for _ in range(14):
-            reader, writer = await asyncio.open_connection("127.0.0.1", primary.port)
-            writer.write(f"CONNECT {SERVICE} lost a\r\n".encode())
-            assert (await reader.readline()).startswith(b"READY")
-            held.append(writer)
+        held = await async_fill(deployment, 14)
         for name in ("node-1", "node-2"):
             await deployment.async_add_gateway(name)
             await asyncio.sleep(0.5)
--- a/tests/site/test_metrics.py
+++ b/tests/site/test_metrics.py
@@ -5,6 +5,7 @@
 import aiohttp
 from burdockrun_base import Application, Measurements
 from burdockrun_site.http import async_serve_page
+from burdockrun_site.listeners import open_listener
 from burdockrun_site.metrics import render_metrics
 from prometheus_client.parser import text_string_to_metric_families
 
@@ -39,7 +40,7 @@
     app = Application()
     port = 18_464
     answers = iter([(200, b"one"), (503, b"")])
-    await async_serve_page(app, ("127.0.0.1", port), lambda: next(answers))
+    await async_serve_page(app, open_listener("127.0.0.1", port), lambda: next(answers))
     async with aiohttp.ClientSession() as session:
         for expected in (200, 503):
             async with session.get(f"http://127.0.0.1:{port}/-/readiness") as response:
