Know isolation sooner, and close sessions when the platform has noticed

Change: a node asks the store after 150 ms of silence and is isolated after 350 ms; the wait of a question is 100 ms; sessions are closed once two probes in a row were answered with not ready; registrations lapse after 2.5 s.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -17,12 +17,12 @@
 # Pace while a primary is lost or being replaced, when the next step may come from any node.
 STORE_ALERT_PACE_MS: Final = 150
 # Longest wait of a question while nothing changes.
-STORE_WATCH_MS: Final = 300
+STORE_WATCH_MS: Final = 100
 STORE_RETRY_MS: Final = 100
 STORE_RETRY_MAX_MS: Final = 800
 
-NODE_LEASE_MS: Final = 4_000
-NODE_KEEP_MS: Final = 1_200
+NODE_LEASE_MS: Final = 2_500
+NODE_KEEP_MS: Final = 800
 DUTY_LEASE_MS: Final = 1_000
 DUTY_KEEP_MS: Final = 300
 # Pace at which a node without the duty looks whether it is free, beside each change of the store.
@@ -40,11 +40,12 @@
 PROBE_INTERVAL_MS: Final = 1_000
 REPORT_INTERVAL_MS: Final = 500
 # Members are asked for reports when the store has not confirmed the record for so long.
-CONFIRMATION_OVERDUE_MS: Final = STORE_PACE_MS + STORE_WATCH_MS + 50
+CONFIRMATION_OVERDUE_MS: Final = STORE_PACE_MS + STORE_WATCH_MS + 150
 STATUS_TIMEOUT_MS: Final = 500
 # After another node has reported a primary, a shorter silence of it is enough for so long.
 CHALLENGE_MS: Final = 2_000
 CHALLENGE_PROBE_MS: Final = 100
+CHALLENGE_SILENCE_MS: Final = 300
 # Extra connections of a lost machine keep others out for seconds, so they are closed soon.
 IDLE_LINK_MS: Final = 100
 # Members keep the connections of lost machines for three seconds. After a start or a refusal a node
@@ -89,12 +90,12 @@
 QUIET_CLIENT_MS: Final = 100
 QUIET_CLIENT_HURRY_MS: Final = 20
 # A node is isolated when statements wait at members of other domains, none of these has said
-# anything for so long, and the store does not answer a question either.
-SUSPECT_SILENCE_MS: Final = 300
-ISOLATED_SILENCE_MS: Final = 600
-ISOLATED_STORE_MS: Final = 400
-# The platform has noticed in most cases by then that the node is not ready.
-ISOLATED_CLOSE_MS: Final = 1_200
+# anything for so long, and the store does not answer a question either. The store is asked early.
+ISOLATED_ASK_MS: Final = 150
+ISOLATED_SILENCE_MS: Final = 350  # a lost packet is sent again after 200 ms
+ISOLATED_STORE_MS: Final = STORE_WATCH_MS + 150
+# The platform sends no new clients after so many probes in a row that found the node not ready.
+UNREADY_PROBES: Final = 2
 
 GATEWAY_STARTED = define_event(
     1301, "gateway_started", Level.INFO, "The gateway accepts connections."
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -19,13 +19,13 @@
     GATEWAY_STARTED,
     GATEWAY_STOPPED,
     ISOLATED,
-    ISOLATED_CLOSE_MS,
     ISOLATION_ENDED,
     QUIET_CLIENT_HURRY_MS,
     QUIET_CLIENT_MS,
     START_HOLD_MS,
     START_POLL_MS,
     TICK_MS,
+    UNREADY_PROBES,
 )
 from burdockrun_gateway.directory import Directory
 from burdockrun_gateway.isolation import Isolation
@@ -83,6 +83,7 @@
         self._isolation = Isolation(self.directory.copy)
         self._channels: set[ClientChannel] = set()
         self._tasks: list[asyncio.Task[None]] = []
+        self._unready_probes = 0
         self._started_ms = app.clock.now_ms()
 
     def start(self) -> None:
@@ -95,6 +96,12 @@
         self._spawn(self._reports.async_run())
         self._spawn(self._async_tick())
 
+    def answer_probe(self) -> bool:
+        """Return whether new clients should come here, to a probe of the platform."""
+        ready = self.is_ready()
+        self._unready_probes = 0 if ready else self._unready_probes + 1
+        return ready
+
     def is_ready(self) -> bool:
         """Return whether new clients should come here."""
         isolated = self._isolation.since_ms is not None
@@ -178,7 +185,7 @@
             return
         if changed:
             self._app.events.write(ISOLATED, sessions=len(self._channels))
-        if now_ms - since_ms >= ISOLATED_CLOSE_MS:
+        if self._unready_probes >= UNREADY_PROBES:
             self._close_quiet(QUIET_CLIENT_HURRY_MS)
 
     async def _async_tick(self) -> None:
--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -17,6 +17,7 @@
 from burdockrun_gateway.const import (
     CHALLENGE_MS,
     CHALLENGE_PROBE_MS,
+    CHALLENGE_SILENCE_MS,
     CONFIRMATION_OVERDUE_MS,
     MEMBER_REACHED,
     MEMBER_SUSPECTED,
@@ -25,7 +26,6 @@
     PROBE_INTERVAL_MS,
     REPORT_INTERVAL_MS,
     SILENCE_MS,
-    SUSPECT_SILENCE_MS,
 )
 from burdockrun_gateway.pools import MemberPool
 from burdockrun_gateway.ports import MemberConnector
@@ -185,7 +185,7 @@
             if quiet and now_ms - self._asked_ms.get(member_id, 0) >= interval_ms:
                 self._asked_ms[member_id] = now_ms
                 self._spawn(pool)
-        self._note_suspicion(primary, SUSPECT_SILENCE_MS if challenged else SILENCE_MS)
+        self._note_suspicion(primary, CHALLENGE_SILENCE_MS if challenged else SILENCE_MS)
         self._note_lead(now_ms)
 
     def close(self) -> None:
--- a/libs/gateway/burdockrun_gateway/isolation.py
+++ b/libs/gateway/burdockrun_gateway/isolation.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from burdockrun_gateway.const import ISOLATED_SILENCE_MS, ISOLATED_STORE_MS, SUSPECT_SILENCE_MS
+from burdockrun_gateway.const import ISOLATED_ASK_MS, ISOLATED_SILENCE_MS, ISOLATED_STORE_MS
 from burdockrun_gateway.mirror import Mirror
 from burdockrun_gateway.pools import MemberPool
 
@@ -25,9 +25,9 @@
                 return False
             self.since_ms = None
             return True
-        if not any(pool.is_waiting_longer(SUSPECT_SILENCE_MS) for pool in pools):
+        if not any(pool.is_waiting_longer(ISOLATED_ASK_MS) for pool in pools):
             return False
-        if now_ms - heard_ms < SUSPECT_SILENCE_MS:
+        if now_ms - heard_ms < ISOLATED_ASK_MS:
             return False
         self._copy.hurry()
         if now_ms - heard_ms < ISOLATED_SILENCE_MS or not self._is_store_silent(now_ms):
--- a/tests/site/test_gateway.py
+++ b/tests/site/test_gateway.py
@@ -335,7 +335,12 @@
             member.silent = True
         await client.async_query("READ ward")
         await deployment.async_until(lambda: not gateway.is_ready(), 2.0)
-        assert await client.async_read_line() == ""
+        assert not gateway.answer_probe()
+        other = asyncio.create_task(client.async_read_line())
+        await asyncio.sleep(0.2)
+        assert not other.done()
+        assert not gateway.answer_probe()
+        assert await other == ""
         deployment.store.down = False
         for member in deployment.members.values():
             member.silent = False
