Reach members through homes where nodes outnumber connections

Cause: each node opened connections of its own. Ruled out: closing idle connections (more than 46 requests are in flight at times, and an opening takes 12 ms of a slot); one home for the whole fleet (a trip between domains for each statement). Change: where the limit gives a node fewer than two connections, a few homes in each failure domain hold them, chosen by rendezvous hashing over the registrations. A home speaks to other nodes as the member does and decides nothing. SIGTERM marks the registration, so that all nodes pass over a home that leaves. The ranking moved to libs/base, since the gateway uses it as well. Nodes that have two or more connections each work as before. Tests cover loss, drain and refusal at a home, and fail without sharing.

--- a/libs/fleet/burdockrun_fleet/campaign.py
+++ b/libs/fleet/burdockrun_fleet/campaign.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 
+from burdockrun_base.rendezvous import hash_name, rank_nodes
 from burdockrun_messages import Digest, KeyEntry, NodeInfo
 
 from burdockrun_fleet.const import (
@@ -17,7 +18,6 @@
 )
 from burdockrun_fleet.coordinator import Coordinator, Parts
 from burdockrun_fleet.membership import Membership
-from burdockrun_fleet.rendezvous import hash_name, rank_nodes
 
 
 class Campaign:
--- a/libs/fleet/burdockrun_fleet/evidence.py
+++ b/libs/fleet/burdockrun_fleet/evidence.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterable
 
+from burdockrun_base.rendezvous import rank_nodes
 from burdockrun_messages import NodeInfo, PingAck, Roster
 
 from burdockrun_fleet.const import EVIDENCE_MS, WITNESSES
-from burdockrun_fleet.rendezvous import rank_nodes
 
 # Relayed ages above this say nothing that a receiver could use.
 _NO_USE_MS = 30_000
--- a/libs/fleet/burdockrun_fleet/homes.py
+++ b/libs/fleet/burdockrun_fleet/homes.py
@@ -1,9 +1,8 @@
 """Home and standby of each member by rendezvous hashing over the roster of its domain."""
 
+from burdockrun_base.rendezvous import hash_name, score
 from burdockrun_messages import Member, NodeInfo, Roster
 
-from burdockrun_fleet.rendezvous import hash_name, score
-
 Top = tuple[str, str]
 
 
--- a/libs/fleet/burdockrun_fleet/records.py
+++ b/libs/fleet/burdockrun_fleet/records.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 
+from burdockrun_base.rendezvous import hash_name
 from burdockrun_messages import GroupRecord, GroupState, NodeInfo, Outbox, TermsPull, TermsPush
 
 from burdockrun_fleet.backoff import TokenBucket
@@ -12,7 +13,6 @@
     RECORDS_PER_PUSH,
     RECORDS_SETTLE_MS,
 )
-from burdockrun_fleet.rendezvous import hash_name
 
 
 def _order(record: GroupRecord) -> tuple[int, bool, int]:
--- a/libs/gateway/burdockrun_gateway/__init__.py
+++ b/libs/gateway/burdockrun_gateway/__init__.py
@@ -1,7 +1,7 @@
 """Gateway: client sessions on shared connections to the members of database groups."""
 
 from burdockrun_gateway.const import RETRY_AFTER_MS
-from burdockrun_gateway.gateway import Gateway, SessionFault
+from burdockrun_gateway.gateway import Gateway, SessionFault, SharingFault
 from burdockrun_gateway.ports import (
     ConnectFault,
     Connection,
@@ -14,9 +14,11 @@
     PromotionDuty,
     SharedStore,
     StoreFault,
+    Urgency,
     Write,
 )
 from burdockrun_gateway.relay import Relay
+from burdockrun_gateway.sharing import SharedConnection
 
 __all__ = [
     "RETRY_AFTER_MS",
@@ -32,7 +34,10 @@
     "PromotionDuty",
     "Relay",
     "SessionFault",
+    "SharedConnection",
     "SharedStore",
+    "SharingFault",
     "StoreFault",
+    "Urgency",
     "Write",
 ]
--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -52,6 +52,10 @@
 # takes one connection to a member for so long, so that each node finds one after a restart of all.
 RESTRAINED_MS: Final = 1_200
 TICK_MS: Final = 50
+# A home that has failed is passed over for so long while there are others.
+HOME_RETRY_MS: Final = 2_000
+# Connections to a member that a node may have through its home.
+HOME_LINKS: Final = 8
 
 # Wait for a connection before a request is refused, as a share of its route's target.
 ADMISSION_SHARE: Final = 0.6
@@ -163,3 +167,6 @@
 REQUEST_LATE = define_event(
     1323, "request_late", Level.INFO, "A request was answered after the target of its route."
 )
+HOME_PASSED_OVER = define_event(
+    1324, "home_passed_over", Level.INFO, "A home of a member did not answer; another one is used."
+)
--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from functools import partial
 from random import Random
 
 from burdockrun_base import Application
@@ -9,11 +10,13 @@
     GRANT_MARGIN_MS,
     GRANT_MS,
     Configuration,
+    ConnectionPlan,
     GroupRecord,
     MemberEntry,
     NodeEntry,
     Route,
     Suspicion,
+    plan_connections,
 )
 from result import Err
 
@@ -74,7 +77,7 @@
 
     def handle_hint(self, host: str) -> None:
         """Ask the store at once when a registered node says that it has changed."""
-        if any(entry.host == host for entry in self.nodes.values()):
+        if self.is_peer(host):
             self.copy.hurry()
 
     def hint_all(self) -> None:
@@ -235,16 +238,17 @@
 
     def spread_quotas(self) -> None:
         """Share the connections that members accept among the nodes."""
-        nodes = max(1, len(self.nodes))
         for service, limits in self.configuration.services.items():
             group = self.groups.get(service)
             if group is not None:
-                group.set_quota(
-                    max(1, (limits.max_connections - 1) // nodes),
-                    # Half of the limit stays free for nodes that restart all at once, since
-                    # members keep the connections of lost machines for seconds.
-                    warm=max(1, limits.max_connections // 2 // nodes),
-                )
+                group.set_planner(partial(self._plan_connections, limits.max_connections))
+
+    def _plan_connections(self, max_connections: int, member_id: str) -> ConnectionPlan:
+        return plan_connections(member_id, max_connections, self.nodes.values(), self._node)
+
+    def is_peer(self, host: str) -> bool:
+        """Return whether a registered node has this address."""
+        return any(entry.host == host for entry in self.nodes.values())
 
     def _learn_own(self, item: Item) -> None:
         """Take over a key of the product."""
--- a/libs/gateway/burdockrun_gateway/exchange.py
+++ b/libs/gateway/burdockrun_gateway/exchange.py
@@ -57,7 +57,7 @@
         if link.lost or link.oldest_unanswered_ms() is not None:
             pool.discard(link)
             return
-        task = asyncio.get_running_loop().create_task(_async_roll_back(pool, link, request_id))
+        task = asyncio.get_running_loop().create_task(async_roll_back(pool, link, request_id))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -138,7 +138,7 @@
                 continue
             if sent.kind is not StatementKind.BEGIN:
                 pool.discard(link)
-            return _setup_failure(answer, answers[-1])
+            return build_setup_failure(answer, answers[-1])
         return answers[-1]
 
     def _build_statement(self, attempt: Attempt, pool: MemberPool) -> Statement:
@@ -156,13 +156,14 @@
         )
 
 
-def _setup_failure(failed: Answer, last: Answer) -> Answer:
+def build_setup_failure(failed: Answer, last: Answer) -> Answer:
     """Return the answer to a statement whose preparation failed."""
     code = failed.error if failed.error is not ErrorCode.MALFORMED else ErrorCode.BUSY
     return Answer(state=FAILED if last.state is IDLE else last.state, error=code)
 
 
-async def _async_roll_back(pool: MemberPool, link: MemberLink, request_id: str) -> None:
+async def async_roll_back(pool: MemberPool, link: MemberLink, request_id: str) -> None:
+    """End the transaction on a connection and give it back."""
     rollback = Statement(kind=StatementKind.ROLLBACK, request_id=request_id)
     try:
         async with asyncio.timeout(ROLLBACK_TIMEOUT_MS / 1000):
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -1,14 +1,14 @@
 """The gateway of one entry VM: its sessions, groups and life cycle."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from enum import Enum
 from random import Random
 from typing import Any, Protocol
 
 from burdockrun_base import Application
 from burdockrun_groups import NodeEntry
-from burdockrun_statements import TransactionState
+from burdockrun_statements import Answer, TransactionState
 from result import Err, Ok, Result
 
 from burdockrun_gateway.const import (
@@ -33,6 +33,7 @@
 from burdockrun_gateway.ports import Documents, Hints, MemberConnector, PromotionDuty, SharedStore
 from burdockrun_gateway.relay import Relay
 from burdockrun_gateway.reports import Reports
+from burdockrun_gateway.sharing import SharedConnection
 from burdockrun_gateway.supervisor import Supervisor
 
 
@@ -43,6 +44,13 @@
     STARTING = "starting"  # nothing is known yet
 
 
+class SharingFault(Enum):
+    """Why this node does not carry a connection of another one to a member."""
+
+    NO_HOME = "no_home"
+    MEMBER_REFUSED = "member_refused"  # nothing listens at the member's address
+
+
 class ClientChannel(Protocol):
     """Connection of a client."""
 
@@ -82,6 +90,7 @@
         self._reports = Reports(store, self.directory, entry.node)
         self._isolation = Isolation(self.directory.copy)
         self._channels: set[ClientChannel] = set()
+        self._shared: set[SharedConnection] = set()
         self._tasks: list[asyncio.Task[None]] = []
         self._unready_probes = 0
         self._started_ms = app.clock.now_ms()
@@ -138,13 +147,38 @@
         self._channels.discard(channel)
         channel.relay.close()
 
+    def open_shared(
+        self,
+        host: str,
+        *,
+        service: str,
+        member_id: str,
+        on_answer: Callable[[Answer], None],
+        on_lost: Callable[[], None],
+    ) -> Result[SharedConnection, SharingFault]:
+        """Return a connection of the node at `host` to a member, if this node is a home of it."""
+        group = self.directory.find_group(service)
+        pool = group.pools.get(member_id) if group is not None else None
+        if pool is None or pool.homes.entries or self.draining or not self.directory.is_peer(host):
+            return Err(SharingFault.NO_HOME)
+        if pool.is_refused():
+            return Err(SharingFault.MEMBER_REFUSED)
+        shared = SharedConnection(pool, on_answer, on_lost)
+        self._shared.add(shared)
+        return Ok(shared)
+
+    def close_shared(self, shared: SharedConnection) -> None:
+        """Roll back what another node has left open."""
+        self._shared.discard(shared)
+        shared.close()
+
     async def async_drain(self) -> None:
         """Take no new clients, finish what is in flight, and end idle sessions."""
         started_ms = self._app.clock.now_ms()
         self.draining = True
         self._app.events.write(GATEWAY_DRAINING, sessions=len(self._channels))
-        await self._duty.async_release()
-        while self._channels:
+        await asyncio.gather(self._duty.async_release(), self._registration.async_leave())
+        while self._channels or any(shared.is_busy() for shared in self._shared):
             elapsed_ms = self._app.clock.now_ms() - started_ms
             if elapsed_ms >= DRAIN_LIMIT_MS:
                 break
--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -1,11 +1,12 @@
 """One database group as this node sees it: members, connections, grants, positions."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from burdockrun_base import Application, LogPosition
 from burdockrun_groups import (
     Authority,
+    ConnectionPlan,
     GroupRecord,
     MemberEntry,
     ReadOption,
@@ -49,8 +50,7 @@
         self._app = app
         self._domain = domain
         self._connector = connector
-        self._quota = 1
-        self._warm = 1
+        self._plan_member: Callable[[str], ConnectionPlan] = lambda _: ConnectionPlan(quota=1)
         self._tasks: set[asyncio.Task[None]] = set()
         self._asked_ms: dict[str, int] = {}
 
@@ -76,11 +76,11 @@
             )
         self._notify()
 
-    def set_quota(self, quota: int, warm: int) -> None:
-        """Limit the connections to each member, and those that are kept without work."""
-        self._quota, self._warm = quota, warm
-        for pool in self.pools.values():
-            pool.quota, pool.warm = quota, warm
+    def set_planner(self, plan_member: Callable[[str], ConnectionPlan]) -> None:
+        """Plan the connections to each member anew, by its id."""
+        self._plan_member = plan_member
+        for member_id, pool in self.pools.items():
+            pool.set_plan(plan_member(member_id))
 
     def set_record(self, record: GroupRecord) -> None:
         """Learn the agreed primary."""
@@ -241,7 +241,7 @@
             self._handle_position,
             same_domain=entry.domain == self._domain,
         )
-        pool.quota, pool.warm = self._quota, self._warm
+        pool.set_plan(self._plan_member(entry.id))
         return pool
 
     def _handle_position(self, pool: MemberPool, position: LogPosition, sent_ms: int) -> None:
--- a/libs/gateway/burdockrun_gateway/leases.py
+++ b/libs/gateway/burdockrun_gateway/leases.py
@@ -1,6 +1,7 @@
 """Keys that exist as long as this node renews their lease: its registration and the duty."""
 
 import asyncio
+from dataclasses import replace
 from random import Random
 
 from burdockrun_base import Application
@@ -60,6 +61,14 @@
         self.until_ms = sent_ms + self._lease_ms
         return True
 
+    async def async_change(self, value: bytes) -> None:
+        """Write another value under the lease that is held."""
+        self._value = value
+        if self._lease:
+            await self._store.async_commit(
+                {}, [Write(key=self._key, value=value, lease=self._lease)]
+            )
+
     async def async_keep(self) -> StoreFault | None:
         """Renew the lease."""
         sent_ms = self._app.clock.now_ms()
@@ -84,6 +93,7 @@
     ) -> None:
         self._app = app
         self._directory = directory
+        self._entry = entry
         self._node_key = NODES_PREFIX + entry.node
         self._key = LeasedKey(app, store, self._node_key, dump_node(entry), NODE_LEASE_MS)
 
@@ -108,6 +118,11 @@
         taken_ms = self._key.until_ms - NODE_LEASE_MS
         return copy.confirmed_ms > taken_ms and self._node_key not in copy.items
 
+    async def async_leave(self) -> None:
+        """Tell the other nodes to use other homes."""
+        await self._key.async_change(dump_node(replace(self._entry, leaving=True)))
+        self._directory.hint_all()
+
     async def async_release(self) -> None:
         """Remove the registration."""
         await self._key.async_release()
--- a/libs/gateway/burdockrun_gateway/links.py
+++ b/libs/gateway/burdockrun_gateway/links.py
@@ -5,9 +5,10 @@
 from collections.abc import Callable, Sequence
 
 from burdockrun_base import Clock
+from burdockrun_groups import NodeEntry
 from burdockrun_statements import Answer, ConnectionState, Statement
 
-from burdockrun_gateway.ports import Connection
+from burdockrun_gateway.ports import Connection, Urgency
 
 
 class LinkLostError(Exception):
@@ -29,7 +30,14 @@
 class MemberLink:
     """Connection to a member with its session state."""
 
-    def __init__(self, clock: Clock, on_heard: Callable[["MemberLink", Answer, int], None]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        on_heard: Callable[["MemberLink", Answer, int], None],
+        home: NodeEntry | None = None,
+    ) -> None:
+        self.home = home
+        self.urgency = Urgency(rank=0, wait_ms=0)
         self.state = ConnectionState()
         self.connection: Connection | None = None
         self.lost = False
@@ -50,7 +58,7 @@
             future.set_exception(LinkLostError())
             return future
         self._exchanges.append(_Exchange(len(statements), future, self._clock.now_ms()))
-        self.connection.send(statements)
+        self.connection.send(statements, self.urgency)
         return future
 
     def handle_answer(self, answer: Answer) -> None:
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -6,7 +6,7 @@
 from itertools import count
 
 from burdockrun_base import Application, LogPosition
-from burdockrun_groups import MemberEntry
+from burdockrun_groups import ConnectionPlan, MemberEntry
 from burdockrun_statements import (
     Answer,
     MemberStatus,
@@ -21,6 +21,8 @@
     CONNECTION_LIMIT_DELAY_MS,
     DEFAULT_MEMBER_MS,
     ESTIMATE_WEIGHT,
+    HOME_LINKS,
+    HOME_PASSED_OVER,
     IDLE_LINK_MS,
     LAGGING_MS,
     LINK_LOST,
@@ -30,15 +32,16 @@
     SILENCE_MS,
     STATUS_TIMEOUT_MS,
 )
+from burdockrun_gateway.homes import Homes
 from burdockrun_gateway.links import LinkLostError, MemberLink
-from burdockrun_gateway.ports import ConnectFault, MemberConnector
+from burdockrun_gateway.ports import ConnectFault, MemberConnector, Urgency
 
 OnPosition = Callable[["MemberPool", LogPosition, int], None]
 StatusReader = Callable[[Answer], MemberStatus | None]
 
 
 class MemberPool:
-    """Connections to one member, at most `quota` of them."""
+    """Connections to one member, its own or through a home."""
 
     def __init__(
         self,
@@ -51,8 +54,9 @@
         same_domain: bool,
     ) -> None:
         self.entry = entry
-        self.quota = 1
-        self.warm = 1
+        self.homes = Homes(app.clock)
+        self._quota = 1
+        self._warm = 1
         self.position: LogPosition | None = None
         self._lagging_until_ms = 0
         self._same_domain = same_domain
@@ -74,6 +78,12 @@
         self._probing = False
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def set_plan(self, plan: ConnectionPlan) -> None:
+        """Limit the connections, half of which are kept without work, or use those of homes."""
+        self.homes.entries = plan.homes
+        self._quota = HOME_LINKS if plan.homes else plan.quota
+        self._warm = 1 if plan.homes else max(1, plan.quota // 2)
+
     def expected_ms(self) -> float:
         """Return the time that an answer of the member is likely to take."""
         if not self._links:
@@ -135,6 +145,14 @@
 
         Waiting requests get connections in the order of their ranks.
         """
+        link = await self._async_acquire(rank, session, wait_ms)
+        if link is not None:
+            link.urgency = Urgency(rank=max(rank, 0), wait_ms=int(wait_ms))
+        return link
+
+    async def _async_acquire(
+        self, rank: int, session: SessionState | None, wait_ms: float
+    ) -> MemberLink | None:
         if self.closed:
             return None
         if self._idle:
@@ -203,17 +221,22 @@
             if sent_ms is None and link not in self._idle:
                 continue
             silent_ms = now_ms - max(sent_ms, link.heard_ms) if sent_ms is not None else 0
-            if silent_ms > 2 * SILENCE_MS and self.is_silent():
+            if link.home is not None and silent_ms > SILENCE_MS:
+                self.homes.note_failure(link.home)
                 self.discard(link)
+            elif silent_ms > 2 * SILENCE_MS and self.is_silent():
+                self.discard(link)
+        for link in [idle for idle in self._idle if not self.homes.fits(idle.home)]:
+            self.discard(link)
         while (
-            len(self._links) > self.warm
+            len(self._links) > self._warm
             and self._idle
             and now_ms - self._idle[0].idle_since_ms > IDLE_LINK_MS
         ):
             link = self._idle.pop(0)
             link.close()
             self._drop(link)
-        if len(self._links) + self._opening < min(self.warm, self._allowed()):
+        if len(self._links) + self._opening < min(self._warm, self._allowed()):
             self._open_more()
 
     def withdraw(self) -> None:
@@ -268,13 +291,16 @@
     def _allowed(self) -> int:
         """Return how many connections this node may open now."""
         restrained = self._app.clock.now_ms() < self._restrained_until_ms
-        return 1 if restrained else self.quota
+        return 1 if restrained and not self.homes.entries else self._quota
 
     def _open_more(self) -> None:
         if len(self._links) + self._opening >= self._allowed() or self.closed:
             return
         self._opening += 1
-        task = asyncio.get_running_loop().create_task(self._async_open())
+        self.keep_task(asyncio.get_running_loop().create_task(self._async_open()))
+
+    def keep_task(self, task: asyncio.Task[None]) -> None:
+        """Hold on to a task that works for the pool, until it is done."""
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -288,7 +314,8 @@
             self._opening -= 1
 
     async def _async_open_now(self) -> None:
-        link = MemberLink(self._app.clock, self._handle_heard)
+        home = self.homes.pick()
+        link = MemberLink(self._app.clock, self._handle_heard, home)
 
         def handle_lost() -> None:
             self._handle_lost(link)
@@ -297,7 +324,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
                 opened = await self._connector.async_open(
-                    self.entry, link.handle_answer, handle_lost
+                    self.entry, link.handle_answer, handle_lost, home=home
                 )
         except TimeoutError:
             opened = Err(ConnectFault.SILENT)
@@ -311,6 +338,11 @@
             self.release(link)
             return
         fault = opened.err_value
+        if home is not None and fault is not ConnectFault.REFUSED:
+            self.homes.note_failure(home)
+            if not self.homes.have_failed():
+                self._app.events.write(HOME_PASSED_OVER, member=self.entry.id, home=home.node)
+                return
         if fault is ConnectFault.LIMIT:
             self.heard_ms = now_ms
             self._open_after_ms = now_ms + CONNECTION_LIMIT_DELAY_MS
--- a/libs/gateway/burdockrun_gateway/ports.py
+++ b/libs/gateway/burdockrun_gateway/ports.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from burdockrun_base import LogPosition
-from burdockrun_groups import Configuration, MemberEntry
+from burdockrun_groups import Configuration, MemberEntry, NodeEntry
 from burdockrun_statements import Answer, MemberStatus, Statement
 from result import Result
 
@@ -28,6 +28,7 @@
     SILENT = "silent"
     LIMIT = "limit"  # the member has too many connections
     WRONG_MEMBER = "wrong_member"
+    NO_HOME = "no_home"  # the node that should carry the connection does not
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -107,10 +108,18 @@
         ...
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Urgency:
+    """Rank of a request, 0 first, and how long it may wait for a connection."""
+
+    rank: int
+    wait_ms: int
+
+
 class Connection(Protocol):
     """Open connection to a member; answers come in the order of the statements."""
 
-    def send(self, statements: Sequence[Statement]) -> None:
+    def send(self, statements: Sequence[Statement], urgency: Urgency) -> None:
         """Send statements in one write."""
         ...
 
@@ -135,8 +144,13 @@
         entry: MemberEntry,
         on_answer: Callable[[Answer], None],
         on_lost: Callable[[], None],
+        *,
+        home: NodeEntry | None = None,
     ) -> Result[Opened, ConnectFault]:
-        """Open a connection; `on_lost` is called once when it ends without `close`."""
+        """Open a connection, on a connection of another node if a `home` is given.
+
+        `on_lost` is called once when it ends without `close`.
+        """
         ...
 
     def read_status(self, answer: Answer) -> MemberStatus | None:
--- a/libs/gateway/burdockrun_gateway/records.py
+++ b/libs/gateway/burdockrun_gateway/records.py
@@ -46,7 +46,13 @@
 def dump_node(entry: NodeEntry) -> bytes:
     """Encode the registration of a node."""
     return json.dumps(
-        {"node": entry.node, "domain": entry.domain, "host": entry.host, "port": entry.port}
+        {
+            "node": entry.node,
+            "domain": entry.domain,
+            "host": entry.host,
+            "port": entry.port,
+            "leaving": entry.leaving,
+        }
     ).encode()
 
 
@@ -60,6 +66,7 @@
                 domain=str(fields["domain"]),
                 host=str(fields["host"]),
                 port=int(fields["port"]),
+                leaving=bool(fields.get("leaving")),
             )
         )
     except (KeyError, TypeError, ValueError) as error:
--- /dev/null
+++ b/libs/gateway/burdockrun_gateway/sharing.py
@@ -0,0 +1,131 @@
+"""Connections of other nodes to a member, carried on connections of this one."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+from itertools import groupby
+from typing import Final
+
+from burdockrun_statements import (
+    Answer,
+    ErrorCode,
+    SessionState,
+    Statement,
+    StatementKind,
+    plan_setup,
+)
+
+from burdockrun_gateway.attempts import IDLE
+from burdockrun_gateway.exchange import async_roll_back, build_setup_failure
+from burdockrun_gateway.links import LinkLostError, MemberLink
+from burdockrun_gateway.pools import MemberPool
+from burdockrun_gateway.ports import Urgency
+
+# Statements that only change the session; a connection learns of them when it is needed.
+_SESSION_KINDS: Final = frozenset({StatementKind.RESET, StatementKind.SET, StatementKind.PREPARE})
+_REFUSED: Final = Answer(state=IDLE, error=ErrorCode.BUSY, detail="no connection became free")
+
+
+class SharedConnection:
+    """Connection of another node, which holds one of this node from its first statement to idle.
+
+    The other node decides whether the member may be used; this one only passes statements on.
+    """
+
+    def __init__(
+        self, pool: MemberPool, on_answer: Callable[[Answer], None], on_lost: Callable[[], None]
+    ) -> None:
+        self._pool = pool
+        self._on_answer = on_answer
+        self._on_lost = on_lost
+        self._session = SessionState()
+        self._link: MemberLink | None = None
+        self._waiting: deque[tuple[Sequence[Statement], Urgency]] = deque()
+        self._worker: asyncio.Task[None] | None = None
+        self._closed = False
+
+    def is_busy(self) -> bool:
+        """Return whether an answer or the end of a transaction is awaited."""
+        return self._worker is not None or self._link is not None
+
+    def handle(self, statements: Sequence[Statement], urgency: Urgency) -> None:
+        """Answer statements that have come in one write."""
+        self._waiting.append((statements, urgency))
+        if self._worker is None:
+            self._worker = asyncio.get_running_loop().create_task(self._async_run())
+
+    def close(self) -> None:
+        """Roll back what is open; what waits at the member is withdrawn."""
+        self._closed = True
+        self._waiting.clear()
+        link, self._link = self._link, None
+        if link is None:
+            return
+        if link.lost or link.oldest_unanswered_ms() is not None:
+            self._pool.discard(link)
+        else:
+            rollback = async_roll_back(self._pool, link, "")
+            self._pool.keep_task(asyncio.get_running_loop().create_task(rollback))
+
+    async def _async_run(self) -> None:
+        try:
+            while self._waiting:
+                statements, urgency = self._waiting.popleft()
+                for is_local, run in groupby(statements, lambda one: one.kind in _SESSION_KINDS):
+                    if is_local:
+                        self._apply(run)
+                    else:
+                        await self._async_forward(list(run), urgency)
+        except LinkLostError:
+            if not self._closed:
+                self._on_lost()
+        finally:
+            self._worker = None
+
+    def _apply(self, statements: Iterable[Statement]) -> None:
+        for statement in statements:
+            if statement.kind is StatementKind.RESET:
+                self._session = SessionState()
+            else:
+                self._session.apply(statement)
+            self._on_answer(Answer(state=IDLE))
+
+    async def _async_forward(self, statements: list[Statement], urgency: Urgency) -> None:
+        """Pass statements on; raises LinkLostError when no whole answer came."""
+        link = self._link
+        if link is None and statements[0].kind is StatementKind.ROLLBACK:
+            self._on_answer(Answer(state=IDLE))
+            return
+        if link is None:
+            link = await self._pool.async_acquire(urgency.rank, self._session, urgency.wait_ms)
+            if link is None:
+                for _ in statements:
+                    self._on_answer(_REFUSED)
+                return
+            if self._closed:
+                self._pool.release(link)
+                return
+            self._link = link
+        setup = self._plan_setup(link, statements)
+        answers = await link.send([*setup, *statements])
+        failed = [answer for answer in answers[: len(setup)] if answer.error is not None]
+        if failed:
+            self._link = None
+            self._pool.discard(link)
+            for _ in statements:
+                self._on_answer(build_setup_failure(failed[0], answers[-1]))
+            return
+        if answers[-1].state is IDLE:
+            self._link = None
+            self._pool.release(link)
+        for answer in answers[len(setup) :]:
+            self._on_answer(answer)
+
+    def _plan_setup(self, link: MemberLink, statements: list[Statement]) -> list[Statement]:
+        setup: list[Statement] = []
+        for statement in statements:
+            shape = None
+            if statement.kind is StatementKind.EXECUTE:
+                shape = self._session.prepared.get(statement.name)
+            setup += plan_setup(link.state, self._session, shape)
+        return setup
--- a/libs/groups/burdockrun_groups/__init__.py
+++ b/libs/groups/burdockrun_groups/__init__.py
@@ -2,6 +2,7 @@
 
 from burdockrun_groups.authority import Authority
 from burdockrun_groups.const import GRANT_MARGIN_MS, GRANT_MS
+from burdockrun_groups.homes import ConnectionPlan, plan_connections
 from burdockrun_groups.models import (
     Configuration,
     Freshness,
@@ -27,6 +28,7 @@
     "GRANT_MS",
     "Authority",
     "Configuration",
+    "ConnectionPlan",
     "Evidence",
     "Freshness",
     "GroupRecord",
@@ -43,4 +45,5 @@
     "choose_member",
     "choose_successor",
     "find_first_primary",
+    "plan_connections",
 ]
--- a/libs/groups/burdockrun_groups/const.py
+++ b/libs/groups/burdockrun_groups/const.py
@@ -14,3 +14,7 @@
 LIKELY_APPLIED_MS: Final = 200
 # Longer way to a replica that is taken to keep the primary free, below the trip between domains.
 PRIMARY_SURCHARGE_MS: Final = 4.0
+# Connections of a node to a member below which a few nodes hold them for the others.
+LEAST_OWN_CONNECTIONS: Final = 2
+# Connections to a member that a home has; fewer make requests wait for each other.
+HOME_CONNECTIONS: Final = 5
--- a/libs/groups/burdockrun_groups/models.py
+++ b/libs/groups/burdockrun_groups/models.py
@@ -86,12 +86,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NodeEntry:
-    """Entry VM that has registered itself; `host` and `port` take hints from other nodes."""
+    """Entry VM that has registered itself; `host` and `port` serve the other nodes.
+
+    A node that is `leaving` will stop soon and takes no more work from others.
+    """
 
     node: str
     domain: str
     host: str = ""
     port: int = 0
+    leaving: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/fleet/test_role_keeper.py
+++ b/tests/fleet/test_role_keeper.py
@@ -2,10 +2,10 @@
 
 from dataclasses import replace
 
+from burdockrun_base.rendezvous import rank_nodes
 from burdockrun_fleet.const import ROLE_LAPSE_MS
 from burdockrun_fleet.evidence import Evidence
 from burdockrun_fleet.homes import split_share
-from burdockrun_fleet.rendezvous import rank_nodes
 from burdockrun_fleet.roles import Role, RoleKeeper
 from burdockrun_fleet.rosters import RosterTable, next_generation
 from burdockrun_fleet.simulation import place_nodes
--- /dev/null
+++ b/tests/groups/test_homes.py
@@ -0,0 +1,61 @@
+"""Tests of the plan of connections to a member."""
+
+from burdockrun_groups import NodeEntry, plan_connections
+
+
+def build_nodes(count: int, domains: int, *, leaving: str = "") -> list[NodeEntry]:
+    """Return registered nodes, spread over failure domains."""
+    return [
+        NodeEntry(node=f"n{index}", domain=f"d{index % domains}", leaving=f"n{index}" == leaving)
+        for index in range(count)
+    ]
+
+
+def test_few_nodes_have_connections_of_their_own() -> None:
+    """Guards against a hop where the limit allows direct connections."""
+    plan = plan_connections("m", 16, build_nodes(7, 4), "n1")
+    assert (plan.quota, plan.homes) == (2, ())
+
+
+def test_the_connections_of_all_homes_stay_within_the_limit() -> None:
+    """Guards against nodes that are turned away by a member."""
+    for count, domains, limit in [(87, 4, 46), (76, 4, 110), (780, 4, 46), (9, 2, 4), (5, 5, 2)]:
+        nodes = build_nodes(count, domains)
+        plans = {entry.node: plan_connections("m", limit, nodes, entry.node) for entry in nodes}
+        homes = {home.node for plan in plans.values() for home in plan.homes}
+        direct = {node for node, plan in plans.items() if not plan.homes}
+        assert homes == direct
+        assert sum(plans[node].quota for node in homes) <= limit - 1
+
+
+def test_a_home_of_the_own_domain_comes_first_and_the_others_follow() -> None:
+    """Guards against trips between failure domains, and against a single point of failure."""
+    nodes = build_nodes(87, 4)
+    domains = {entry.node: entry.domain for entry in nodes}
+    for entry in nodes:
+        plan = plan_connections("m", 46, nodes, entry.node)
+        if plan.homes:
+            found = [home.domain == domains[entry.node] for home in plan.homes]
+            assert found == sorted(found, reverse=True)
+            assert found[0]
+            assert not found[-1]
+
+
+def test_a_node_that_leaves_is_no_home() -> None:
+    """Guards against work that is sent to a node which will stop."""
+    nodes = build_nodes(87, 4)
+    home = plan_connections("m", 46, nodes, "n1").homes[0]
+    changed = build_nodes(87, 4, leaving=home.node)
+    for entry in changed:
+        plan = plan_connections("m", 46, changed, entry.node)
+        assert home.node not in {one.node for one in plan.homes}
+
+
+def test_a_node_that_is_lost_moves_few_homes() -> None:
+    """Guards against a reshuffle of all connections at each change of the fleet."""
+    nodes = build_nodes(87, 4)
+    before = {home.node for home in plan_connections("m", 46, nodes, "n1").homes}
+    lost = next(iter(before - {"n1"}))
+    rest = [entry for entry in nodes if entry.node != lost]
+    after = {home.node for home in plan_connections("m", 46, rest, "n1").homes}
+    assert len(before - after) == 1
--- a/tests/site/common.py
+++ b/tests/site/common.py
@@ -12,6 +12,7 @@
 from burdockrun_site.documents import PlatformDocuments
 from burdockrun_site.hints import HintPort
 from burdockrun_site.members import LineConnector
+from burdockrun_site.peers import PeerConnection
 from burdockrun_site.store import PlatformDuty, PlatformStore
 
 from tests.site.members import StandInMember
@@ -74,10 +75,12 @@
         self.store = StandInStore(self._promote)
         self.gateways: list[Gateway] = []
         self.ports: list[int] = []
-        self._stops: list[Callable[[], Awaitable[None]]] = []
+        self._max_connections = 16
+        self._stops: dict[str, Callable[[], Awaitable[None]]] = {}
 
-    async def async_start(self, gateways: int = 2) -> None:
+    async def async_start(self, gateways: int = 2, max_connections: int = 16) -> None:
         """Start everything and wait until all gateways are ready."""
+        self._max_connections = max_connections
         await self.store.async_start()
         self.configure(1)
         for member in self.members.values():
@@ -109,29 +112,35 @@
             rng=Random(len(self.gateways)),
         )
         hints.on_hint = gateway.directory.handle_hint
+        peers = await loop.create_server(lambda: PeerConnection(gateway), "127.0.0.1", port)
         server = await loop.create_server(lambda: ClientConnection(app, gateway), "127.0.0.1", 0)
         gateway.start()
 
         async def async_stop() -> None:
             server.close()
+            peers.close()
             await gateway.async_stop()
             store.close()
             duty.close()
             hints.close()
 
-        self._stops.append(async_stop)
+        self._stops[node] = async_stop
         self.gateways.append(gateway)
         self.ports.append(server.sockets[0].getsockname()[1])
         return gateway
 
     async def async_stop(self) -> None:
         """Stop everything."""
-        for stop in self._stops:
+        for stop in self._stops.values():
             await stop()
         for member in self.members.values():
             await member.async_stop()
         await self.store.async_stop()
 
+    async def async_stop_gateway(self, node: str) -> None:
+        """Stop one gateway as a loss of its process does."""
+        await self._stops.pop(node)()
+
     def configure(
         self,
         version: int,
@@ -154,7 +163,9 @@
             }
             for name in databases
         ]
-        services = [{"Name": SERVICE, "MaxConns": 16, "SyncReplicas": synchronous}]
+        services = [
+            {"Name": SERVICE, "MaxConns": self._max_connections, "SyncReplicas": synchronous}
+        ]
         self.store.put(
             "op/config",
             {"Version": version, "Routes": routes, "Services": services, "Limits": {}},
@@ -219,11 +230,11 @@
 
 
 @contextlib.asynccontextmanager
-async def async_deploy(gateways: int = 2) -> AsyncIterator[Deployment]:
+async def async_deploy(gateways: int = 2, max_connections: int = 16) -> AsyncIterator[Deployment]:
     """Run a deployment for the time of a test."""
     deployment = Deployment()
     try:
-        await deployment.async_start(gateways)
+        await deployment.async_start(gateways, max_connections)
         yield deployment
     finally:
         await deployment.async_stop()
--- /dev/null
+++ b/tests/site/test_homes.py
@@ -0,0 +1,145 @@
+"""Gateways that reach members through each other."""
+
+import asyncio
+
+from burdockrun_gateway import Gateway
+
+from tests.site.common import SERVICE, Deployment, async_deploy, error_of, rows_of
+
+# Four gateways with three connections to share: one of them is the home of each member.
+GATEWAYS = 4
+MAX_CONNECTIONS = 4
+
+
+def is_home(gateway: Gateway, member: str) -> bool:
+    """Return whether a gateway has connections of its own to a member."""
+    return not gateway.directory.groups[SERVICE].pools[member].homes.entries
+
+
+def find_home(deployment: Deployment, member: str) -> int:
+    """Return the index of the home of a member."""
+    homes = [index for index, gateway in enumerate(deployment.gateways) if is_home(gateway, member)]
+    assert len(homes) == 1
+    return homes[0]
+
+
+async def async_settle(deployment: Deployment) -> None:
+    """Wait until all nodes agree on the homes and have left connections of their own."""
+    await deployment.async_until(
+        lambda: all(
+            len(gateway.directory.nodes) == GATEWAYS and deployment.is_serving(gateway)
+            for gateway in deployment.gateways
+        )
+    )
+    await asyncio.sleep(0.3)
+
+
+async def test_few_nodes_hold_the_connections_of_all() -> None:
+    """Guards against nodes that are turned away where they outnumber the connections."""
+    async with async_deploy(GATEWAYS, MAX_CONNECTIONS) as deployment:
+        await async_settle(deployment)
+        for index in range(GATEWAYS):
+            client = await deployment.async_connect("urgent", index)
+            assert error_of(await client.async_query(f"WRITE ward v{index}")) == ""
+            assert rows_of(await client.async_query("READ ward")) == [f"v{index}"]
+        assert all(member.connections() <= 3 for member in deployment.members.values())
+
+
+async def test_values_names_and_transactions_of_nodes_do_not_mix_at_a_home() -> None:
+    """Guards against session state that stays on a shared connection."""
+    async with async_deploy(GATEWAYS, MAX_CONNECTIONS) as deployment:
+        await async_settle(deployment)
+        clients = [await deployment.async_connect("urgent", index) for index in range(GATEWAYS)]
+        for index, client in enumerate(clients):
+            await client.async_query(f"SET zone z{index}")
+            await client.async_query("PREPARE s1 WRITE q1")
+        for _ in range(3):
+            for client in clients:
+                assert await client.async_query("BEGIN") == ["COMPLETE -", "READY T -"]
+                assert error_of(await client.async_query("EXECUTE s1 ward v1")) == ""
+                assert error_of(await client.async_query("COMMIT")) == ""
+        runs = [run for run in deployment.members["a"].runs if run.text == "WRITE"]
+        assert [run.values for run in runs] == [
+            (("zone", f"z{index}"),) for index in range(GATEWAYS)
+        ] * 3
+        assert {run.state for run in runs} == {"T"}
+
+
+async def test_a_transaction_is_rolled_back_when_its_node_ends() -> None:
+    """Guards against a home that keeps the transactions of a lost node."""
+    async with async_deploy(GATEWAYS, MAX_CONNECTIONS) as deployment:
+        await async_settle(deployment)
+        index = (find_home(deployment, "a") + 1) % GATEWAYS
+        client = await deployment.async_connect("urgent", index)
+        await client.async_query("BEGIN")
+        assert error_of(await client.async_query("WRITE ward v1")) == ""
+        await deployment.async_stop_gateway(f"node-{index + 1}")
+        other = await deployment.async_connect("urgent", find_home(deployment, "a"))
+        assert rows_of(await other.async_query("READ ward")) == ["none"]
+        pool = deployment.gateways[find_home(deployment, "a")].directory.groups[SERVICE].pools["a"]
+        await deployment.async_until(lambda: pool.expected_wait_ms() == 0.0, 2.0)
+
+
+async def test_the_loss_of_a_home_is_not_the_loss_of_the_member() -> None:
+    """Guards against a promotion, or an outage, when a home ends."""
+    async with async_deploy(GATEWAYS, MAX_CONNECTIONS) as deployment:
+        await async_settle(deployment)
+        home = find_home(deployment, "a")
+        client = await deployment.async_connect("urgent", (home + 1) % GATEWAYS)
+        await client.async_query("WRITE ward v1")
+        await deployment.async_stop_gateway(f"node-{home + 1}")
+        await deployment.async_until_done(client, "WRITE ward v2")
+        assert rows_of(await client.async_query("READ ward")) == ["v2"]
+        assert not deployment.store.promotions
+
+
+async def test_a_home_that_drains_hands_over_without_a_failed_request() -> None:
+    """Guards against requests that are cut or refused by planned work on a home."""
+    async with async_deploy(GATEWAYS, MAX_CONNECTIONS) as deployment:
+        await async_settle(deployment)
+        home = find_home(deployment, "a")
+        client = await deployment.async_connect("urgent", (home + 1) % GATEWAYS)
+        drained = asyncio.create_task(deployment.gateways[home].async_drain())
+        failed = []
+        while not drained.done():
+            failed.append(error_of(await client.async_query("WRITE ward v1")))
+            await asyncio.sleep(0.01)
+        assert set(failed) == {""}
+
+
+async def test_a_dead_primary_behind_a_home_is_replaced() -> None:
+    """Guards against nodes that wait for a home to reach a member that is gone."""
+    async with async_deploy(GATEWAYS, MAX_CONNECTIONS) as deployment:
+        await async_settle(deployment)
+        client = await deployment.async_connect("urgent")
+        await client.async_query("WRITE ward v1")
+        await deployment.members["a"].async_stop()
+        await deployment.async_until_done(client, "WRITE ward v2")
+        assert rows_of(await client.async_query("READ ward")) == ["v2"]
+
+
+async def test_strangers_and_garbage_get_nothing_done_on_the_peer_port() -> None:
+    """Guards against callers that reach members past the gateway."""
+    async with async_deploy(GATEWAYS, MAX_CONNECTIONS) as deployment:
+        await async_settle(deployment)
+        home = deployment.gateways[find_home(deployment, "a")]
+        port = home.directory.nodes[f"node-{find_home(deployment, 'a') + 1}"].port
+        cases = [b"QUERY q1 READ x", b"CONNECT wendedb", f"CONNECT {SERVICE} x zz".encode()]
+        for case in cases:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(case + b"\r\nQUERY q1 READ x\r\n")
+            assert b"COMPLETE" not in await asyncio.wait_for(_async_read(reader), 2.0)
+            writer.close()
+        home.directory.is_peer = lambda host: False  # type: ignore[method-assign]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(f"CONNECT {SERVICE} x a\r\nQUERY q1 READ x\r\n".encode())
+        assert (await asyncio.wait_for(_async_read(reader), 2.0)).startswith(b"ERROR WRONGNODE")
+        writer.close()
+        assert deployment.members["a"].runs == []
+
+
+async def _async_read(reader: asyncio.StreamReader) -> bytes:
+    try:
+        return await reader.read()
+    except ConnectionError:
+        return b""
