Let a few nodes of each domain ask the store for the others

Ruled out: longer questions (grants need an answer each 1.5 s); renewals of a lease as proof (they do not show that the record is unchanged, nor a revoked key). Change: in failure domains of more than three nodes, one node in 25 asks the store; the others ask it for what has changed, over HTTP with JSON, at once when it says by datagram that it has had an answer. A copy comes with its age, so a grant counts from a time before the question to the store, without clocks that agree. A copy older than 1.15 s, a node that does not answer in 250 ms, and any doubt about isolation lead to the store itself. Deployments of 7 nodes work as before.

--- a/libs/gateway/burdockrun_gateway/__init__.py
+++ b/libs/gateway/burdockrun_gateway/__init__.py
@@ -5,6 +5,7 @@
 from burdockrun_gateway.ports import (
     ConnectFault,
     Connection,
+    Copies,
     Documents,
     Hints,
     Item,
@@ -17,6 +18,7 @@
     Urgency,
     Write,
 )
+from burdockrun_gateway.records import dump_listing, load_listing
 from burdockrun_gateway.relay import Relay
 from burdockrun_gateway.sharing import SharedConnection
 
@@ -24,6 +26,7 @@
     "RETRY_AFTER_MS",
     "ConnectFault",
     "Connection",
+    "Copies",
     "Documents",
     "Gateway",
     "Hints",
@@ -40,4 +43,6 @@
     "StoreFault",
     "Urgency",
     "Write",
+    "dump_listing",
+    "load_listing",
 ]
--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -52,8 +52,13 @@
 # takes one connection to a member for so long, so that each node finds one after a restart of all.
 RESTRAINED_MS: Final = 1_200
 TICK_MS: Final = 50
-# A home that has failed is passed over for so long while there are others.
-HOME_RETRY_MS: Final = 2_000
+# A node that has failed another one is passed over for so long.
+PEER_RETRY_MS: Final = 2_000
+PEER_TIMEOUT_MS: Final = 250
+# A copy of another node that is older than a question to the store would be is not followed.
+COPY_AGE_MS: Final = STORE_PACE_MS + STORE_WATCH_MS + 50
+# Changes that a node keeps for those that follow its copy.
+COPY_HISTORY: Final = 2_000
 # Connections to a member that a node may have through its home.
 HOME_LINKS: Final = 8
 
@@ -170,3 +175,6 @@
 HOME_PASSED_OVER = define_event(
     1324, "home_passed_over", Level.INFO, "A home of a member did not answer; another one is used."
 )
+COPY_SOURCE = define_event(
+    1325, "copy_source", Level.INFO, "This node follows the store itself, or another node's copy."
+)
--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -16,6 +16,7 @@
     NodeEntry,
     Route,
     Suspicion,
+    find_askers,
     plan_connections,
 )
 from result import Err
@@ -32,7 +33,7 @@
 )
 from burdockrun_gateway.group import Group
 from burdockrun_gateway.mirror import Mirror
-from burdockrun_gateway.ports import Documents, Hints, Item, MemberConnector, SharedStore
+from burdockrun_gateway.ports import Copies, Documents, Hints, Item, MemberConnector, SharedStore
 from burdockrun_gateway.records import load_ack, load_group, load_node, load_suspicion
 
 
@@ -47,6 +48,7 @@
         connector: MemberConnector,
         entry: NodeEntry,
         *,
+        copies: Copies,
         hints: Hints,
         rng: Random,
     ) -> None:
@@ -66,10 +68,12 @@
         self._node = entry.node
         self._node_key = NODES_PREFIX + entry.node
         self._node_left_ms = app.clock.now_ms()
+        self._followers: list[NodeEntry] = []
 
         self.copy = Mirror(
             app,
             store,
+            copies=copies,
             rng=rng,
             on_change=self._handle_items,
             on_confirmed=self._handle_confirmed,
@@ -201,7 +205,7 @@
             if service not in self.groups:
                 self._add_group(service)
         self._spread_members()
-        self.spread_quotas()
+        self._spread_duties()
 
     def _add_group(self, service: str) -> None:
         group = Group(self._app, service, self._domain, self._connector)
@@ -236,8 +240,15 @@
             if entries != group.authority.members:
                 group.set_members(entries)
 
-    def spread_quotas(self) -> None:
-        """Share the connections that members accept among the nodes."""
+    def _spread_duties(self) -> None:
+        """Work out which nodes hold connections to members, and which ask the store."""
+        nodes = self.nodes.values()
+        self.copy.askers.entries = find_askers(nodes, self._node)
+        self._followers = [
+            entry
+            for entry in nodes
+            if entry.domain == self._domain and self._is_follower(entry.node)
+        ]
         for service, limits in self.configuration.services.items():
             group = self.groups.get(service)
             if group is not None:
@@ -246,6 +257,10 @@
     def _plan_connections(self, max_connections: int, member_id: str) -> ConnectionPlan:
         return plan_connections(member_id, max_connections, self.nodes.values(), self._node)
 
+    def _is_follower(self, node: str) -> bool:
+        """Return whether a node asks this one for changes of the store."""
+        return any(asker.node == self._node for asker in find_askers(self.nodes.values(), node))
+
     def is_peer(self, host: str) -> bool:
         """Return whether a registered node has this address."""
         return any(entry.host == host for entry in self.nodes.values())
@@ -289,7 +304,7 @@
                 self._app.events.write(DOCUMENT_UNUSABLE, key=item.key, reason=decoded.err_value)
                 return
             self.nodes[name] = decoded.ok_value
-        self.spread_quotas()
+        self._spread_duties()
 
     def _learn_suspicion(self, item: Item) -> None:
         if item.value is None:
@@ -322,6 +337,7 @@
         )
 
     def _handle_confirmed(self, sent_ms: int) -> None:
+        self._send_hints(self._followers)
         if self._node_key not in self.copy.items:
             return
         for group in self.groups.values():
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -30,7 +30,15 @@
 from burdockrun_gateway.directory import Directory
 from burdockrun_gateway.isolation import Isolation
 from burdockrun_gateway.leases import Duty, Registration
-from burdockrun_gateway.ports import Documents, Hints, MemberConnector, PromotionDuty, SharedStore
+from burdockrun_gateway.ports import (
+    Copies,
+    Documents,
+    Hints,
+    Listing,
+    MemberConnector,
+    PromotionDuty,
+    SharedStore,
+)
 from burdockrun_gateway.relay import Relay
 from burdockrun_gateway.reports import Reports
 from burdockrun_gateway.sharing import SharedConnection
@@ -76,6 +84,7 @@
         documents: Documents,
         connector: MemberConnector,
         *,
+        copies: Copies,
         hints: Hints,
         orders: PromotionDuty,
         rng: Random,
@@ -83,7 +92,9 @@
         self.draining = False
         self._app = app
         self._entry = entry
-        self.directory = Directory(app, store, documents, connector, entry, hints=hints, rng=rng)
+        self.directory = Directory(
+            app, store, documents, connector, entry, copies=copies, hints=hints, rng=rng
+        )
         self._registration = Registration(app, store, self.directory, entry)
         self._duty = Duty(app, store, self.directory, entry.node, rng)
         self._supervisor = Supervisor(app, store, self.directory, self._duty, orders)
@@ -147,6 +158,10 @@
         self._channels.discard(channel)
         channel.relay.close()
 
+    def tell_changes(self, host: str, after: int) -> Listing | None:
+        """Return what the node at `host` does not know of the store yet; None for a stranger."""
+        return self.directory.copy.tell_changes(after) if self.directory.is_peer(host) else None
+
     def open_shared(
         self,
         host: str,
--- a/libs/gateway/burdockrun_gateway/isolation.py
+++ b/libs/gateway/burdockrun_gateway/isolation.py
@@ -29,7 +29,7 @@
             return False
         if now_ms - heard_ms < ISOLATED_ASK_MS:
             return False
-        self._copy.hurry()
+        self._copy.hurry(direct=True)
         if now_ms - heard_ms < ISOLATED_SILENCE_MS or not self._is_store_silent(now_ms):
             return False
         self.since_ms = now_ms
--- a/libs/gateway/burdockrun_gateway/mirror.py
+++ b/libs/gateway/burdockrun_gateway/mirror.py
@@ -1,13 +1,20 @@
 """Copy of the shared store that is kept up to date."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from random import Random
+from typing import Final
 
 from burdockrun_base import Application
-from result import Err
+from result import Err, Ok, Result
 
 from burdockrun_gateway.const import (
+    COPY_AGE_MS,
+    COPY_HISTORY,
+    COPY_SOURCE,
+    PEER_TIMEOUT_MS,
     STORE_ALERT_PACE_MS,
     STORE_HURRIED_PACE_MS,
     STORE_LOST,
@@ -17,7 +24,11 @@
     STORE_RETRY_MS,
     STORE_WATCH_MS,
 )
-from burdockrun_gateway.ports import Item, SharedStore, StoreFault
+from burdockrun_gateway.peer_choice import PeerChoice
+from burdockrun_gateway.ports import Copies, Item, Listing, SharedStore, StoreFault
+
+# Age of a copy that has never been up to date.
+NEVER_MS: Final = 1_000_000_000
 
 # Called with the items that changed; after a new listing also with those that are gone.
 OnChange = Callable[[list[Item]], None]
@@ -37,10 +48,12 @@
         app: Application,
         store: SharedStore,
         *,
+        copies: Copies,
         rng: Random,
         on_change: OnChange,
         on_confirmed: OnConfirmed,
     ) -> None:
+        self.askers = PeerChoice(app.clock)
         self.items: dict[str, Item] = {}
         self.loaded = False
         self.confirmed_ms: int | None = None
@@ -49,12 +62,17 @@
         self.asked_ms: int | None = None
         self._app = app
         self._store = store
+        self._copies = copies
         self._rng = rng
         self._on_change = on_change
         self._on_confirmed = on_confirmed
         self.as_of = 0
         self._pace_ms = STORE_PACE_MS
         self._wake = asyncio.Event()
+        self._direct = False
+        self._changes: deque[Item] = deque(maxlen=COPY_HISTORY)
+        self._changes_after = 0
+        self._source = ""
 
     def is_failing(self) -> bool:
         """Return whether the last question had no usable answer."""
@@ -66,10 +84,22 @@
             self.hurry()
         self._pace_ms = STORE_ALERT_PACE_MS if alert else STORE_PACE_MS
 
-    def hurry(self) -> None:
-        """Ask the store at once, since something has changed there."""
+    def hurry(self, *, direct: bool = False) -> None:
+        """Ask at once, since something has changed; `direct` goes past the other nodes."""
+        self._direct = self._direct or direct
         self._wake.set()
 
+    def tell_changes(self, after: int) -> Listing:
+        """Return what has changed after a revision for a node that follows this copy."""
+        if not self.loaded or self.confirmed_ms is None:
+            return Listing(items=(), as_of=0, age_ms=NEVER_MS)
+        age_ms = self._app.clock.now_ms() - self.confirmed_ms
+        if after < self._changes_after:
+            items = tuple(self.items.values())
+            return Listing(items=items, as_of=self.as_of, complete=True, age_ms=age_ms)
+        changed = tuple(item for item in self._changes if item.revision > after)
+        return Listing(items=changed, as_of=self.as_of, age_ms=age_ms)
+
     def note_written(self, item: Item) -> None:
         """Take over an item that this node has written, ahead of the next answer."""
         if self._is_news(item):
@@ -81,20 +111,49 @@
         while True:
             sent_ms = self._app.clock.now_ms()
             self.asked_ms = sent_ms
-            fault = await (self._async_watch() if self.loaded else self._async_list())
+            asked = await self._async_ask()
             self.asked_ms = None
-            if fault is None:
+            if isinstance(asked, Ok):
                 delay_ms = 0.0
-                self._confirm(sent_ms)
+                self._confirm(sent_ms, asked.ok_value.age_ms)
                 await self._async_pause(sent_ms)
                 continue
-            if fault is StoreFault.COMPACTED:
+            if asked.err_value is StoreFault.COMPACTED:
                 self.loaded = False
                 continue
-            self._note_failure(fault)
+            self._note_failure(asked.err_value)
             delay_ms = min(STORE_RETRY_MAX_MS, max(STORE_RETRY_MS, 2 * delay_ms))
             await asyncio.sleep(delay_ms * self._rng.uniform(0.6, 1.0) / 1000)
 
+    async def _async_ask(self) -> Result[Listing, StoreFault]:
+        """Ask another node for its copy, or the store, and take over what is new."""
+        asker = None if self._direct else self.askers.pick_working()
+        self._direct = False
+        listed: Result[Listing, StoreFault] = Err(StoreFault.UNREACHABLE)
+        if asker is not None:
+            after = self.as_of if self.loaded else 0
+            listed = await self._copies.async_ask(asker, after, PEER_TIMEOUT_MS)
+            if isinstance(listed, Err) or listed.ok_value.age_ms > COPY_AGE_MS:
+                self.askers.note_failure(asker)
+                asker = None
+        if asker is None:
+            listed = await self._async_ask_store()
+        self._note_source(asker.node if asker is not None else "store")
+        if isinstance(listed, Ok):
+            self._learn(listed.ok_value)
+        return listed
+
+    async def _async_ask_store(self) -> Result[Listing, StoreFault]:
+        if self.loaded:
+            return await self._store.async_watch("", self.as_of, STORE_WATCH_MS)
+        listed = await self._store.async_list("")
+        return listed.map(lambda listing: replace(listing, complete=True))
+
+    def _note_source(self, source: str) -> None:
+        if source != self._source:
+            self._source = source
+            self._app.events.write(COPY_SOURCE, source=source)
+
     async def _async_pause(self, sent_ms: int) -> None:
         """Wait until the next question is due."""
         pause_ms = self._pace_ms - (self._app.clock.now_ms() - sent_ms)
@@ -107,32 +166,31 @@
         least_ms = STORE_HURRIED_PACE_MS - (self._app.clock.now_ms() - sent_ms)
         await asyncio.sleep(max(least_ms, 0) / 1000)
 
-    async def _async_list(self) -> StoreFault | None:
-        listed = await self._store.async_list("")
-        if isinstance(listed, Err):
-            return listed.err_value
-        listing = listed.ok_value
-        found = {item.key for item in listing.items}
-        gone = [
-            Item(key=key, revision=listing.as_of)
-            for key, known in self.items.items()
-            if key not in found and known.revision <= listing.as_of
-        ]
-        self.as_of = listing.as_of
-        self.loaded = True
-        self._on_change(self._take_over([*gone, *listing.items]))
-        return None
-
-    async def _async_watch(self) -> StoreFault | None:
-        watched = await self._store.async_watch("", self.as_of, STORE_WATCH_MS)
-        if isinstance(watched, Err):
-            return watched.err_value
-        listing = watched.ok_value
+    def _learn(self, listing: Listing) -> None:
+        gone: list[Item] = []
+        if listing.complete:
+            found = {item.key for item in listing.items}
+            gone = [
+                Item(key=key, revision=listing.as_of)
+                for key, known in self.items.items()
+                if key not in found and known.revision <= listing.as_of
+            ]
+            self._changes.clear()
+            self._changes_after = listing.as_of
+            self.loaded = True
+        else:
+            self._keep_changes(listing.items)
         self.as_of = max(self.as_of, listing.as_of)
-        changed = self._take_over(listing.items)
-        if changed:
+        changed = self._take_over([*gone, *listing.items])
+        if changed or listing.complete:
             self._on_change(changed)
-        return None
+
+    def _keep_changes(self, items: Iterable[Item]) -> None:
+        """Remember changes for the nodes that follow this copy."""
+        for item in items:
+            if len(self._changes) == COPY_HISTORY:
+                self._changes_after = self._changes[0].revision
+            self._changes.append(item)
 
     def _take_over(self, items: Iterable[Item]) -> list[Item]:
         """Bring the copy up to date and return the items that were news to it."""
@@ -151,14 +209,17 @@
             return True
         return item.value is None and known.revision == item.revision
 
-    def _confirm(self, sent_ms: int) -> None:
+    def _confirm(self, sent_ms: int, age_ms: int) -> None:
+        """Note when the store was asked for what is known now."""
+        asked_ms = sent_ms - age_ms
         if self.failed_ms is not None and (
             self.confirmed_ms is None or self.failed_ms > self.confirmed_ms
         ):
             self._app.events.write(STORE_REGAINED)
-        self.confirmed_ms = sent_ms
-        self.heard_ms = self._app.clock.now_ms()
-        self._on_confirmed(sent_ms)
+        self.heard_ms = max(self.heard_ms, asked_ms if age_ms else self._app.clock.now_ms())
+        if self.confirmed_ms is None or asked_ms >= self.confirmed_ms:
+            self.confirmed_ms = asked_ms
+            self._on_confirmed(asked_ms)
 
     def _note_failure(self, fault: StoreFault) -> None:
         if self.failed_ms is None or (
--- /dev/null
+++ b/libs/gateway/burdockrun_gateway/peer_choice.py
@@ -0,0 +1,34 @@
+"""Choice among nodes that can do the same for this one."""
+
+from burdockrun_base import Clock
+from burdockrun_groups import NodeEntry
+
+from burdockrun_gateway.const import PEER_RETRY_MS
+
+
+class PeerChoice:
+    """Nodes in the order in which they are asked; those that failed lately come last."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.entries: tuple[NodeEntry, ...] = ()
+        self._clock = clock
+        self._failed_ms: dict[str, int] = {}
+
+    def pick_working(self) -> NodeEntry | None:
+        """Return the first node that has not failed lately."""
+        return next((entry for entry in self.entries if not self._has_failed(entry)), None)
+
+    def pick(self) -> NodeEntry | None:
+        """Return the first node that has not failed lately, else the one that failed first."""
+        working = self.pick_working()
+        if working is not None or not self.entries:
+            return working
+        return min(self.entries, key=lambda entry: self._failed_ms[entry.node])
+
+    def note_failure(self, entry: NodeEntry) -> None:
+        """Prefer the other nodes for a while."""
+        self._failed_ms[entry.node] = self._clock.now_ms()
+
+    def _has_failed(self, entry: NodeEntry) -> bool:
+        failed_ms = self._failed_ms.get(entry.node)
+        return failed_ms is not None and self._clock.now_ms() < failed_ms + PEER_RETRY_MS
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -32,8 +32,8 @@
     SILENCE_MS,
     STATUS_TIMEOUT_MS,
 )
-from burdockrun_gateway.homes import Homes
 from burdockrun_gateway.links import LinkLostError, MemberLink
+from burdockrun_gateway.peer_choice import PeerChoice
 from burdockrun_gateway.ports import ConnectFault, MemberConnector, Urgency
 
 OnPosition = Callable[["MemberPool", LogPosition, int], None]
@@ -54,7 +54,7 @@
         same_domain: bool,
     ) -> None:
         self.entry = entry
-        self.homes = Homes(app.clock)
+        self.homes = PeerChoice(app.clock)
         self._quota = 1
         self._warm = 1
         self.position: LogPosition | None = None
@@ -226,7 +226,7 @@
                 self.discard(link)
             elif silent_ms > 2 * SILENCE_MS and self.is_silent():
                 self.discard(link)
-        for link in [idle for idle in self._idle if not self.homes.fits(idle.home)]:
+        for link in [idle for idle in self._idle if not self._fits(idle)]:
             self.discard(link)
         while (
             len(self._links) > self._warm
@@ -239,6 +239,11 @@
         if len(self._links) + self._opening < min(self._warm, self._allowed()):
             self._open_more()
 
+    def _fits(self, link: MemberLink) -> bool:
+        """Return whether a connection is of the node's own, or through a home, as planned."""
+        homes = self.homes.entries
+        return link.home in homes if link.home is not None else not homes
+
     def withdraw(self) -> None:
         """Close the connections on which statements wait, so that these cannot run later."""
         for link in list(self._links):
@@ -340,7 +345,7 @@
         fault = opened.err_value
         if home is not None and fault is not ConnectFault.REFUSED:
             self.homes.note_failure(home)
-            if not self.homes.have_failed():
+            if self.homes.pick_working() is not None:
                 self._app.events.write(HOME_PASSED_OVER, member=self.entry.id, home=home.node)
                 return
         if fault is ConnectFault.LIMIT:
--- a/libs/gateway/burdockrun_gateway/ports.py
+++ b/libs/gateway/burdockrun_gateway/ports.py
@@ -43,10 +43,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Listing:
-    """Items or changes, complete up to the store's revision `as_of`."""
+    """Items or changes, complete up to the store's revision `as_of`.
+
+    `complete` says that all items are listed, and not only changes. `age_ms` is how long ago the
+    store was asked, when another node has told it.
+    """
 
     items: tuple[Item, ...]
     as_of: int
+    complete: bool = False
+    age_ms: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -93,6 +99,16 @@
         ...
 
 
+class Copies(Protocol):
+    """Copies of the store that other nodes keep."""
+
+    async def async_ask(
+        self, peer: NodeEntry, after: int, timeout_ms: int
+    ) -> Result[Listing, StoreFault]:
+        """Return what a node knows that has changed after a revision, 0 for everything."""
+        ...
+
+
 class Documents(Protocol):
     """Where the operators and members write in the store, and how that is read."""
 
--- a/libs/gateway/burdockrun_gateway/records.py
+++ b/libs/gateway/burdockrun_gateway/records.py
@@ -1,12 +1,15 @@
-"""Values that the product keeps in the shared store, as JSON."""
+"""Values in the shared store, and what nodes tell each other of it, as JSON."""
 
 import json
+from base64 import b64decode, b64encode
 from typing import Any
 
 from burdockrun_base import LogPosition
 from burdockrun_groups import GroupRecord, NodeEntry, Suspicion
 from result import Err, Ok, Result
 
+from burdockrun_gateway.ports import Item, Listing
+
 
 def dump_group(record: GroupRecord) -> bytes:
     """Encode the agreed primary of a group."""
@@ -51,6 +54,7 @@
             "domain": entry.domain,
             "host": entry.host,
             "port": entry.port,
+            "copy_port": entry.copy_port,
             "leaving": entry.leaving,
         }
     ).encode()
@@ -66,6 +70,7 @@
                 domain=str(fields["domain"]),
                 host=str(fields["host"]),
                 port=int(fields["port"]),
+                copy_port=int(fields.get("copy_port", 0)),
                 leaving=bool(fields.get("leaving")),
             )
         )
@@ -106,6 +111,51 @@
         return Err(f"suspicion: {error!r}")
 
 
+def dump_listing(listing: Listing) -> bytes:
+    """Encode what a node knows of the store for another node; values are in base64."""
+    return json.dumps(
+        {
+            "as_of": listing.as_of,
+            "age_ms": listing.age_ms,
+            "complete": listing.complete,
+            "items": [
+                [
+                    item.key,
+                    item.revision,
+                    item.created,
+                    b64encode(item.value).decode() if item.value is not None else None,
+                ]
+                for item in listing.items
+            ],
+        },
+        separators=(",", ":"),
+    ).encode()
+
+
+def load_listing(value: bytes) -> Result[Listing, str]:
+    """Decode what another node knows of the store."""
+    fields = _load(value)
+    try:
+        return Ok(
+            Listing(
+                items=tuple(
+                    Item(
+                        key=str(key),
+                        revision=int(revision),
+                        created=int(created),
+                        value=b64decode(text) if text is not None else None,
+                    )
+                    for key, revision, created, text in fields["items"]
+                ),
+                as_of=int(fields["as_of"]),
+                age_ms=int(fields["age_ms"]),
+                complete=bool(fields["complete"]),
+            )
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        return Err(f"copy of the store: {error!r}")
+
+
 def _load_position(fields: Any) -> LogPosition | None:
     return LogPosition(term=int(fields[0]), index=int(fields[1])) if fields else None
 
--- a/libs/groups/burdockrun_groups/__init__.py
+++ b/libs/groups/burdockrun_groups/__init__.py
@@ -1,5 +1,6 @@
 """Database groups: grants, positions, choice of members, promotion."""
 
+from burdockrun_groups.askers import find_askers
 from burdockrun_groups.authority import Authority
 from burdockrun_groups.const import GRANT_MARGIN_MS, GRANT_MS
 from burdockrun_groups.homes import ConnectionPlan, plan_connections
@@ -44,6 +45,7 @@
     "assess",
     "choose_member",
     "choose_successor",
+    "find_askers",
     "find_first_primary",
     "plan_connections",
 ]
--- a/libs/groups/burdockrun_groups/const.py
+++ b/libs/groups/burdockrun_groups/const.py
@@ -18,3 +18,6 @@
 LEAST_OWN_CONNECTIONS: Final = 2
 # Connections to a member that a home has; fewer make requests wait for each other.
 HOME_CONNECTIONS: Final = 5
+# Nodes of a failure domain up to which each asks the shared store itself.
+SMALL_DOMAIN: Final = 3
+FOLLOWERS_OF_AN_ASKER: Final = 25
--- a/libs/groups/burdockrun_groups/models.py
+++ b/libs/groups/burdockrun_groups/models.py
@@ -86,15 +86,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NodeEntry:
-    """Entry VM that has registered itself; `host` and `port` serve the other nodes.
+    """Entry VM that has registered itself.
 
-    A node that is `leaving` will stop soon and takes no more work from others.
+    Other nodes find hints and shared connections at `host` and `port`, and its copy of the store
+    at `copy_port`, 0 when it offers none. A node that is `leaving` will stop soon and takes no
+    more work from others.
     """
 
     node: str
     domain: str
     host: str = ""
     port: int = 0
+    copy_port: int = 0
     leaving: bool = False
 
 
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -5,7 +5,9 @@
 
 from burdockrun_base import Application
 from burdockrun_gateway import Item, Listing, StoreFault
+from burdockrun_gateway.const import COPY_AGE_MS
 from burdockrun_gateway.mirror import Mirror
+from burdockrun_groups import NodeEntry
 from result import Err, Ok, Result
 
 Reply = Result[Listing, StoreFault]
@@ -35,6 +37,19 @@
         return reply
 
 
+class ScriptedCopies:
+    """Other nodes whose copies are those of a script."""
+
+    def __init__(self, replies: list[Reply]) -> None:
+        self.replies = replies
+        self.asked: list[tuple[str, int]] = []
+
+    async def async_ask(self, peer: NodeEntry, after: int, timeout_ms: int) -> Reply:
+        """Return the next copy."""
+        self.asked.append((peer.node, after))
+        return self.replies.pop(0) if self.replies else Err(StoreFault.UNREACHABLE)
+
+
 def item(key: str, revision: int, value: bytes | None = b"v") -> Item:
     """Return an item."""
     return Item(key=key, revision=revision, value=value)
@@ -46,7 +61,10 @@
 
 
 async def async_follow(
-    replies: list[tuple[str, Reply]], *, written: Item | None = None
+    replies: list[tuple[str, Reply]],
+    *,
+    written: Item | None = None,
+    copies: ScriptedCopies | None = None,
 ) -> tuple[Mirror, list[list[str]], int]:
     """Return the mirror after the script, the keys of each change, and the confirmations.
 
@@ -64,10 +82,13 @@
     mirror = Mirror(
         Application(),
         store,  # type: ignore[arg-type]
+        copies=copies or ScriptedCopies([]),
         rng=Random(1),
         on_change=handle_change,
         on_confirmed=confirmed.append,
     )
+    if copies is not None:
+        mirror.askers.entries = (NodeEntry(node="n2", domain="nbg"),)
     task = asyncio.create_task(mirror.async_run())
     async with asyncio.timeout(5.0):
         while not store.finished.is_set():
@@ -139,3 +160,48 @@
         written=item("p/a", 9, b"own"),
     )
     assert mirror.items == {}
+
+
+async def test_a_copy_of_another_node_confirms_as_of_its_own_question() -> None:
+    """Guards against a grant that counts from the question to another node."""
+    copies = ScriptedCopies(
+        [
+            Ok(Listing(items=(item("p/a", 3),), as_of=5, complete=True, age_ms=400)),
+            Ok(Listing(items=(item("p/b", 6),), as_of=6, age_ms=100)),
+        ]
+    )
+    mirror, changes, confirmed = await async_follow([("watch", listing(7))], copies=copies)
+    assert [after for _, after in copies.asked] == [0, 5, 6]
+    assert sorted(mirror.items) == ["p/a", "p/b"]
+    assert changes == [["p/a"], ["p/b"]]
+    assert confirmed == 3
+    assert mirror.confirmed_ms is not None
+    told = mirror.tell_changes(5)
+    assert [one.key for one in told.items] == ["p/b"]
+    assert not told.complete
+    assert mirror.tell_changes(2).complete
+
+
+async def test_an_old_copy_is_not_followed() -> None:
+    """Guards against a node that follows one which has lost the store."""
+    old = Ok(Listing(items=(), as_of=5, complete=True, age_ms=COPY_AGE_MS + 1))
+    copies = ScriptedCopies([old, old])
+    mirror, _, confirmed = await async_follow(
+        [("list", listing(8, item("p/a", 3))), ("watch", listing(9))], copies=copies
+    )
+    assert sorted(mirror.items) == ["p/a"]
+    assert copies.asked == [("n2", 0)]
+    assert confirmed == 2
+
+
+def test_a_node_that_knows_nothing_offers_no_copy() -> None:
+    """Guards against a copy that empties those of other nodes."""
+    mirror = Mirror(
+        Application(),
+        ScriptedStore([]),  # type: ignore[arg-type]
+        copies=ScriptedCopies([]),
+        rng=Random(1),
+        on_change=lambda items: None,
+        on_confirmed=lambda sent_ms: None,
+    )
+    assert mirror.tell_changes(0).age_ms > COPY_AGE_MS
--- /dev/null
+++ b/tests/groups/test_askers.py
@@ -0,0 +1,35 @@
+"""Tests of who asks the store."""
+
+from burdockrun_groups import NodeEntry, find_askers
+
+
+def build_nodes(count: int, domains: int) -> list[NodeEntry]:
+    """Return registered nodes that offer their copies."""
+    return [
+        NodeEntry(node=f"n{index}", domain=f"d{index % domains}", copy_port=1)
+        for index in range(count)
+    ]
+
+
+def test_nodes_of_small_domains_ask_the_store_themselves() -> None:
+    """Guards against a hop that saves nothing."""
+    nodes = build_nodes(7, 4)
+    assert all(find_askers(nodes, entry.node) == () for entry in nodes)
+
+
+def test_few_nodes_of_a_large_domain_ask_the_store() -> None:
+    """Guards against calls that grow with the fleet."""
+    for count, most in [(87, 4), (300, 12), (780, 32)]:
+        nodes = build_nodes(count, 4)
+        domains = {entry.node: entry.domain for entry in nodes}
+        sources = {entry.node: find_askers(nodes, entry.node) for entry in nodes}
+        asking = {node for node, askers in sources.items() if not askers}
+        assert len(asking) == most
+        for node, askers in sources.items():
+            assert {asker.node for asker in askers} <= asking
+            assert {domains[asker.node] for asker in askers} <= {domains[node]}
+
+
+def test_a_node_without_a_registration_asks_the_store_itself() -> None:
+    """Guards against a node that never learns of the others."""
+    assert find_askers([], "n1") == ()
--- a/tests/site/common.py
+++ b/tests/site/common.py
@@ -9,8 +9,11 @@
 from burdockrun_gateway import Gateway
 from burdockrun_groups import NodeEntry
 from burdockrun_site.clients import ClientConnection
+from burdockrun_site.copies import PeerCopies, build_copy_page
 from burdockrun_site.documents import PlatformDocuments
 from burdockrun_site.hints import HintPort
+from burdockrun_site.http import async_serve_page
+from burdockrun_site.listeners import open_listener
 from burdockrun_site.members import LineConnector
 from burdockrun_site.peers import PeerConnection
 from burdockrun_site.store import PlatformDuty, PlatformStore
@@ -98,15 +101,24 @@
         address = f"127.0.0.1:{self.store.port}"
         store, duty = PlatformStore(address), PlatformDuty(address)
         hints = HintPort()
+        copies = PeerCopies()
+        copy_listener = open_listener("127.0.0.1", 0)
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(lambda: hints, ("127.0.0.1", 0))
         port = transport.get_extra_info("sockname")[1]
         gateway = Gateway(
             app,
-            NodeEntry(node=node, domain="nbg", host="127.0.0.1", port=port),
+            NodeEntry(
+                node=node,
+                domain="nbg",
+                host="127.0.0.1",
+                port=port,
+                copy_port=copy_listener.getsockname()[1],
+            ),
             store,
             PlatformDocuments(),
             LineConnector(node),
+            copies=copies,
             hints=hints,
             orders=duty,
             rng=Random(len(self.gateways)),
@@ -114,10 +126,13 @@
         hints.on_hint = gateway.directory.handle_hint
         peers = await loop.create_server(lambda: PeerConnection(gateway), "127.0.0.1", port)
         server = await loop.create_server(lambda: ClientConnection(app, gateway), "127.0.0.1", 0)
+        await async_serve_page(app, copy_listener, build_copy_page(gateway.tell_changes))
         gateway.start()
 
         async def async_stop() -> None:
             server.close()
+            copies.close()
+            await app.async_unload()
             peers.close()
             await gateway.async_stop()
             store.close()
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -28,6 +28,7 @@
         self.oldest = 0
         self.down = False
         self.delay_s = 0.0
+        self.watches = 0
         self.lose_next_write = False
         self.promotions: list[tuple[str, str, int]] = []
         self.promote_delay_s = 0.05
@@ -131,6 +132,7 @@
         )
 
     async def _async_watch(self, request: web.Request) -> web.Response:
+        self.watches += 1
         self._check()
         after = int(request.query["after"])
         if after < self.oldest:
--- a/tests/site/test_hints.py
+++ b/tests/site/test_hints.py
@@ -38,7 +38,11 @@
         directory = deployment.gateways[0].directory
         await deployment.async_until(lambda: bool(directory.nodes))
         asked: list[str] = []
-        directory.copy.hurry = lambda: asked.append("store")  # type: ignore[method-assign]
+
+        def note_hurry(*, direct: bool = False) -> None:
+            asked.append("store")
+
+        directory.copy.hurry = note_hurry  # type: ignore[method-assign]
         directory.handle_hint("10.9.9.9")
         assert asked == []
         directory.handle_hint("127.0.0.1")
--- a/tests/site/test_homes.py
+++ b/tests/site/test_homes.py
@@ -143,3 +143,37 @@
         return await reader.read()
     except ConnectionError:
         return b""
+
+
+async def test_one_node_of_a_domain_asks_the_store_for_the_others() -> None:
+    """Guards against calls to the store that grow with the fleet."""
+    async with async_deploy(GATEWAYS, MAX_CONNECTIONS) as deployment:
+        await async_settle(deployment)
+        await asyncio.sleep(1.0)
+        before = deployment.store.watches
+        await asyncio.sleep(3.0)
+        assert deployment.store.watches - before <= 3 * 2
+        client = await deployment.async_connect("urgent")
+        deployment.configure(7, databases=("urgent", "lookups"))
+        await deployment.async_until(
+            lambda: all(
+                gateway.directory.configuration.version == 7 for gateway in deployment.gateways
+            ),
+            2.0,
+        )
+        assert error_of(await client.async_query("WRITE ward v1")) == ""
+
+
+async def test_nodes_ask_the_store_themselves_when_the_one_that_does_is_lost() -> None:
+    """Guards against a domain whose grants end with one node."""
+    async with async_deploy(GATEWAYS, MAX_CONNECTIONS) as deployment:
+        await async_settle(deployment)
+        asker = next(
+            index
+            for index, gateway in enumerate(deployment.gateways)
+            if not gateway.directory.copy.askers.entries
+        )
+        await deployment.async_stop_gateway(f"node-{asker + 1}")
+        other = deployment.gateways[(asker + 1) % GATEWAYS].directory
+        deployment.configure(7, databases=("urgent", "lookups"))
+        await deployment.async_until(lambda: other.configuration.version == 7, 2.0)
--- a/tests/site/test_metrics.py
+++ b/tests/site/test_metrics.py
@@ -40,7 +40,9 @@
     app = Application()
     port = 18_464
     answers = iter([(200, b"one"), (503, b"")])
-    await async_serve_page(app, open_listener("127.0.0.1", port), lambda: next(answers))
+    await async_serve_page(
+        app, open_listener("127.0.0.1", port), lambda host, target: next(answers)
+    )
     async with aiohttp.ClientSession() as session:
         for expected in (200, 503):
             async with session.get(f"http://127.0.0.1:{port}/-/readiness") as response:
