Keep the promotion duty through an outage of the store

Cause: a holder that could not renew its lease in time gave the duty up, though leases may pause with the store. Ruled out: orders by a holder whose lease has ended (the key is gone then, and a renewal says so; an order needs a renewed lease and a copy of the store that shows the key, both since the return). Change: the holder renews until the store says that the lease has ended or the key is gone. While the store is lost, a node asks with 0.4 s and 1.0 s of patience in turn, and pauses 0.4 s at most. Both tests fail before.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -19,7 +19,10 @@
 # Longest wait of a question while nothing changes.
 STORE_WATCH_MS: Final = 100
 STORE_RETRY_MS: Final = 100
-STORE_RETRY_MAX_MS: Final = 800
+STORE_RETRY_MAX_MS: Final = 400
+# Patience with a question while the store is lost: short ones notice its return, long ones a slow
+# store.
+STORE_LOST_TIMEOUTS_MS: Final = (400, 1_000)
 
 NODE_LEASE_MS: Final = 2_500
 NODE_KEEP_MS: Final = 800
--- a/libs/gateway/burdockrun_gateway/leases.py
+++ b/libs/gateway/burdockrun_gateway/leases.py
@@ -203,14 +203,15 @@
         fault = await self._key.async_keep()
         now_ms = self._app.clock.now_ms()
         lost_key = now_ms > self._taken_ms + DUTY_PROOF_MS and not self._still_listed()
-        if fault is StoreFault.LEASE_ENDED or now_ms >= self._key.until_ms or lost_key:
+        # A lease that could not be renewed in time may have paused with the store.
+        if fault is StoreFault.LEASE_ENDED or lost_key:
             self._held = False
             self._app.events.write(
                 DUTY_LOST,
                 fence=self._key.revision,
                 held_ms=now_ms - self._taken_ms,
                 overdue_ms=now_ms - self._key.until_ms,
-                reason=fault.value if fault is not None else "not listed" if lost_key else "lapsed",
+                reason=fault.value if fault is not None else "not listed",
             )
 
     def _still_listed(self) -> bool:
--- a/libs/gateway/burdockrun_gateway/mirror.py
+++ b/libs/gateway/burdockrun_gateway/mirror.py
@@ -18,6 +18,7 @@
     STORE_ALERT_PACE_MS,
     STORE_HURRIED_PACE_MS,
     STORE_LOST,
+    STORE_LOST_TIMEOUTS_MS,
     STORE_PACE_MS,
     STORE_REGAINED,
     STORE_RETRY_MAX_MS,
@@ -73,6 +74,7 @@
         self._changes: deque[Item] = deque(maxlen=COPY_HISTORY)
         self._changes_after = 0
         self._source = ""
+        self._failures = 0
 
     def is_failing(self) -> bool:
         """Return whether the last question had no usable answer."""
@@ -115,6 +117,7 @@
             self.asked_ms = None
             if isinstance(asked, Ok):
                 delay_ms = 0.0
+                self._failures = 0
                 self._confirm(sent_ms, asked.ok_value.age_ms)
                 await self._async_pause(sent_ms)
                 continue
@@ -122,6 +125,7 @@
                 self.loaded = False
                 continue
             self._note_failure(asked.err_value)
+            self._failures += 1
             delay_ms = min(STORE_RETRY_MAX_MS, max(STORE_RETRY_MS, 2 * delay_ms))
             await asyncio.sleep(delay_ms * self._rng.uniform(0.6, 1.0) / 1000)
 
@@ -144,6 +148,15 @@
         return listed
 
     async def _async_ask_store(self) -> Result[Listing, StoreFault]:
+        timeouts = STORE_LOST_TIMEOUTS_MS
+        timeout_ms = timeouts[(self._failures - 1) % len(timeouts)] if self._failures else None
+        try:
+            async with asyncio.timeout(timeout_ms / 1000 if timeout_ms is not None else None):
+                return await self._async_ask_store_now()
+        except TimeoutError:
+            return Err(StoreFault.UNREACHABLE)
+
+    async def _async_ask_store_now(self) -> Result[Listing, StoreFault]:
         if self.loaded:
             return await self._store.async_watch("", self.as_of, STORE_WATCH_MS)
         listed = await self._store.async_list("")
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -194,6 +194,27 @@
     assert confirmed == 2
 
 
+async def test_the_return_of_a_silent_store_is_noticed_soon() -> None:
+    """Guards against a node that waits long for an answer which was lost with the store."""
+    silent = ScriptedStore([("list", listing(5)), ("watch", Err(StoreFault.UNREACHABLE))])
+    confirmed: asyncio.Queue[int] = asyncio.Queue()
+    mirror = Mirror(
+        Application(),
+        silent,  # type: ignore[arg-type]
+        copies=ScriptedCopies([]),
+        rng=Random(1),
+        on_change=lambda items: None,
+        on_confirmed=confirmed.put_nowait,
+    )
+    task = asyncio.create_task(mirror.async_run())
+    mirror.hurry()
+    await asyncio.wait_for(silent.finished.wait(), 3.0)
+    silent.replies = [("watch", listing(9))]
+    await confirmed.get()
+    await asyncio.wait_for(confirmed.get(), 0.9)
+    task.cancel()
+
+
 def test_a_node_that_knows_nothing_offers_no_copy() -> None:
     """Guards against a copy that empties those of other nodes."""
     mirror = Mirror(
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -85,6 +85,15 @@
         self.oldest = self.revision
         self._changes.clear()
 
+    async def async_pause(self, seconds: float) -> None:
+        """Be down for some time, in which leases do not run."""
+        self.down = True
+        await asyncio.sleep(seconds)
+        self._leases = {
+            lease: (until + seconds, length) for lease, (until, length) in self._leases.items()
+        }
+        self.down = False
+
     def _announce(self, change: dict[str, object]) -> None:
         self._changes.append(change)
         self._changed.set()
--- a/tests/site/test_gateway.py
+++ b/tests/site/test_gateway.py
@@ -388,6 +388,17 @@
         assert len(fences) == 1
 
 
+async def test_the_duty_goes_on_after_an_outage_in_which_leases_paused() -> None:
+    """Guards against a second in which nobody may replace a primary."""
+    async with async_deploy() as deployment:
+        fence = deployment.store.entries[DUTY_KEY].created
+        await asyncio.sleep(1.5)
+        await deployment.store.async_pause(2.0)
+        await deployment.members["a"].async_stop()
+        await deployment.async_until(lambda: bool(deployment.store.promotions), 3.0)
+        assert deployment.store.promotions[0][2] == fence
+
+
 async def test_a_synchronous_service_waits_for_all_replicas_that_may_have_a_commit() -> None:
     """Guards against an acknowledged commit that the next primary lacks."""
     async with async_deploy() as deployment:
