Judge isolation by several members, and log why the duty was given up

A drained holder logged the loss of a lease that it had ended itself, overdue by the age of the machine. Ruled out: a longer silence (the same node was silent for any time while its only client waited). Change: statements must wait at two members of other domains. The end of the duty is logged with its reason, also on a drain.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -101,8 +101,10 @@
 # A client that has been quiet for so long is not about to send a request.
 QUIET_CLIENT_MS: Final = 100
 QUIET_CLIENT_HURRY_MS: Final = 20
-# A node is isolated when statements wait at members of other domains, none of these has said
-# anything for so long, and the store does not answer a question either. The store is asked early.
+# A node is isolated when statements wait at several members of other domains, none of these has
+# said anything for so long, and the store does not answer a question either. The store is asked
+# early.
+ISOLATED_MEMBERS: Final = 2
 ISOLATED_ASK_MS: Final = 150
 ISOLATED_SILENCE_MS: Final = 350  # a lost packet is sent again after 200 ms
 ISOLATED_STORE_MS: Final = STORE_WATCH_MS + 150
--- a/libs/gateway/burdockrun_gateway/isolation.py
+++ b/libs/gateway/burdockrun_gateway/isolation.py
@@ -2,7 +2,12 @@
 
 from collections.abc import Sequence
 
-from burdockrun_gateway.const import ISOLATED_ASK_MS, ISOLATED_SILENCE_MS, ISOLATED_STORE_MS
+from burdockrun_gateway.const import (
+    ISOLATED_ASK_MS,
+    ISOLATED_MEMBERS,
+    ISOLATED_SILENCE_MS,
+    ISOLATED_STORE_MS,
+)
 from burdockrun_gateway.mirror import Mirror
 from burdockrun_gateway.pools import MemberPool
 
@@ -25,7 +30,8 @@
                 return False
             self.since_ms = None
             return True
-        if not any(pool.is_waiting_longer(ISOLATED_ASK_MS) for pool in pools):
+        waiting = sum(pool.is_waiting_longer(ISOLATED_ASK_MS) for pool in pools)
+        if waiting < min(ISOLATED_MEMBERS, len(pools)):
             return False
         if now_ms - heard_ms < ISOLATED_ASK_MS:
             return False
--- a/libs/gateway/burdockrun_gateway/leases.py
+++ b/libs/gateway/burdockrun_gateway/leases.py
@@ -201,18 +201,24 @@
     async def _async_keep(self) -> None:
         await asyncio.sleep(DUTY_KEEP_MS / 1000)
         fault = await self._key.async_keep()
+        if not self._held:
+            return
         now_ms = self._app.clock.now_ms()
         lost_key = now_ms > self._taken_ms + DUTY_PROOF_MS and not self._still_listed()
         # A lease that could not be renewed in time may have paused with the store.
         if fault is StoreFault.LEASE_ENDED or lost_key:
-            self._held = False
-            self._app.events.write(
-                DUTY_LOST,
-                fence=self._key.revision,
-                held_ms=now_ms - self._taken_ms,
-                overdue_ms=now_ms - self._key.until_ms,
-                reason=fault.value if fault is not None else "not listed",
-            )
+            self._note_lost(fault.value if fault is not None else "not listed")
+
+    def _note_lost(self, reason: str) -> None:
+        self._held = False
+        now_ms = self._app.clock.now_ms()
+        self._app.events.write(
+            DUTY_LOST,
+            fence=self._key.revision,
+            held_ms=now_ms - self._taken_ms,
+            overdue_ms=now_ms - self._key.until_ms,
+            reason=reason,
+        )
 
     def _still_listed(self) -> bool:
         item = self._directory.duty_item()
@@ -222,5 +228,5 @@
         """Give the duty up."""
         self._declined = True
         if self._held:
-            self._held = False
+            self._note_lost("released")
             await self._key.async_release()
