Give a shared connection back once when its node ends with an answer

Cause: a node that closed its connection to a home in the same turn of the loop as an answer came: the end rolled the member's connection back and released it, then the worker released it again. Change: the worker leaves a connection alone once its node has ended.

--- a/libs/gateway/burdockrun_gateway/sharing.py
+++ b/libs/gateway/burdockrun_gateway/sharing.py
@@ -108,6 +108,9 @@
             self._link = link
         setup = self._plan_setup(link, statements)
         answers = await link.send([*setup, *statements])
+        if self._closed:
+            # `close` has seen to the connection.
+            return
         failed = [answer for answer in answers[: len(setup)] if answer.error is not None]
         if failed:
             self._link = None
