Let the homes of a primary report it, and say when they cannot reach it

Cause: where members are reached through homes, more than half of all nodes had to report a silent primary. A home that had lost the member went on taking connections for it. Ruled out: votes of all nodes with a shorter silence (the loss of one home looks the same to its nodes). Change: only nodes with connections of their own to a primary watch and report it, and more than half of these must. A home refuses connections for a member that is silent. Idle connections through a home that failed are closed while another home works. Where each node has its own connections all nodes report, as before.

--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -17,6 +17,7 @@
     Route,
     Suspicion,
     find_askers,
+    find_holders,
     plan_connections,
 )
 from result import Err
@@ -261,6 +262,13 @@
         """Return whether a node asks this one for changes of the store."""
         return any(asker.node == self._node for asker in find_askers(self.nodes.values(), node))
 
+    def find_holders(self, service: str, member_id: str) -> frozenset[str]:
+        """Return the nodes that have connections of their own to a member."""
+        limits = self.configuration.services.get(service)
+        if limits is None:
+            return frozenset(self.nodes)
+        return find_holders(member_id, limits.max_connections, self.nodes.values())
+
     def is_peer(self, host: str) -> bool:
         """Return whether a registered node has this address."""
         return any(entry.host == host for entry in self.nodes.values())
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -57,6 +57,7 @@
 
     NO_HOME = "no_home"
     MEMBER_REFUSED = "member_refused"  # nothing listens at the member's address
+    MEMBER_SILENT = "member_silent"
 
 
 class ClientChannel(Protocol):
@@ -178,6 +179,8 @@
             return Err(SharingFault.NO_HOME)
         if pool.is_refused():
             return Err(SharingFault.MEMBER_REFUSED)
+        if pool.is_lost():
+            return Err(SharingFault.MEMBER_SILENT)
         shared = SharedConnection(pool, on_answer, on_lost)
         self._shared.add(shared)
         return Ok(shared)
--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -212,7 +212,10 @@
 
     def _note_suspicion(self, primary: str, silence_ms: int) -> None:
         pool = self.pools.get(primary)
-        suspected = primary if pool is not None and pool.is_waiting_longer(silence_ms) else ""
+        suspected = ""
+        # A node that goes through homes cannot tell their loss from that of the primary.
+        if pool is not None and not pool.homes.entries and pool.is_waiting_longer(silence_ms):
+            suspected = primary
         if suspected == self.suspected:
             return
         event = MEMBER_SUSPECTED if suspected else MEMBER_REACHED
--- a/libs/gateway/burdockrun_gateway/peer_choice.py
+++ b/libs/gateway/burdockrun_gateway/peer_choice.py
@@ -25,6 +25,10 @@
             return working
         return min(self.entries, key=lambda entry: self._failed_ms[entry.node])
 
+    def is_passed_over(self, entry: NodeEntry) -> bool:
+        """Return whether a node has failed lately and another one has not."""
+        return self._has_failed(entry) and self.pick_working() is not None
+
     def note_failure(self, entry: NodeEntry) -> None:
         """Prefer the other nodes for a while."""
         self._failed_ms[entry.node] = self._clock.now_ms()
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -240,9 +240,10 @@
             self._open_more()
 
     def _fits(self, link: MemberLink) -> bool:
-        """Return whether a connection is of the node's own, or through a home, as planned."""
-        homes = self.homes.entries
-        return link.home in homes if link.home is not None else not homes
+        """Return whether a connection is of the node's own, or through a home that works."""
+        if link.home is None:
+            return not self.homes.entries
+        return link.home in self.homes.entries and not self.homes.is_passed_over(link.home)
 
     def withdraw(self) -> None:
         """Close the connections on which statements wait, so that these cannot run later."""
--- a/libs/gateway/burdockrun_gateway/sharing.py
+++ b/libs/gateway/burdockrun_gateway/sharing.py
@@ -92,20 +92,14 @@
 
     async def _async_forward(self, statements: list[Statement], urgency: Urgency) -> None:
         """Pass statements on; raises LinkLostError when no whole answer came."""
-        link = self._link
-        if link is None and statements[0].kind is StatementKind.ROLLBACK:
+        if self._link is None and statements[0].kind is StatementKind.ROLLBACK:
             self._on_answer(Answer(state=IDLE))
             return
+        link = self._link or await self._async_bind(urgency)
         if link is None:
-            link = await self._pool.async_acquire(urgency.rank, self._session, urgency.wait_ms)
-            if link is None:
-                for _ in statements:
-                    self._on_answer(_REFUSED)
-                return
-            if self._closed:
-                self._pool.release(link)
-                return
-            self._link = link
+            for _ in statements:
+                self._on_answer(_REFUSED)
+            return
         setup = self._plan_setup(link, statements)
         answers = await link.send([*setup, *statements])
         if self._closed:
@@ -115,15 +109,22 @@
         if failed:
             self._link = None
             self._pool.discard(link)
-            for _ in statements:
-                self._on_answer(build_setup_failure(failed[0], answers[-1]))
-            return
-        if answers[-1].state is IDLE:
+            answers = [build_setup_failure(failed[0], answers[-1])] * len(answers)
+        elif answers[-1].state is IDLE:
             self._link = None
             self._pool.release(link)
         for answer in answers[len(setup) :]:
             self._on_answer(answer)
 
+    async def _async_bind(self, urgency: Urgency) -> MemberLink | None:
+        """Take a connection of this node until the member is idle again."""
+        link = await self._pool.async_acquire(urgency.rank, self._session, urgency.wait_ms)
+        if link is not None and self._closed:
+            self._pool.release(link)
+            return None
+        self._link = link
+        return link
+
     def _plan_setup(self, link: MemberLink, statements: list[Statement]) -> list[Statement]:
         setup: list[Statement] = []
         for statement in statements:
--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -85,15 +85,16 @@
             suspicion.node
             for suspicion in self._directory.suspicions.values()
             if suspicion.service == group.service and suspicion.member == primary
-        } & set(self._directory.nodes)
+        }
         if group.suspected and group.suspected == primary:
             suspecting.add(self._duty.node)
+        watching = self._directory.find_holders(group.service, primary)
         return assess(
             record,
             Evidence(
                 members=group.authority.members,
-                suspecting_nodes=len(suspecting),
-                live_nodes=max(1, len(self._directory.nodes)),
+                suspecting_nodes=len(suspecting & watching),
+                watching_nodes=max(1, len(watching)),
                 discovery_settled=self._directory.is_settled(),
             ),
         )
--- a/libs/groups/burdockrun_groups/__init__.py
+++ b/libs/groups/burdockrun_groups/__init__.py
@@ -3,7 +3,7 @@
 from burdockrun_groups.askers import find_askers
 from burdockrun_groups.authority import Authority
 from burdockrun_groups.const import GRANT_MARGIN_MS, GRANT_MS
-from burdockrun_groups.homes import ConnectionPlan, plan_connections
+from burdockrun_groups.homes import ConnectionPlan, find_holders, plan_connections
 from burdockrun_groups.models import (
     Configuration,
     Freshness,
@@ -47,5 +47,6 @@
     "choose_successor",
     "find_askers",
     "find_first_primary",
+    "find_holders",
     "plan_connections",
 ]
--- a/libs/groups/burdockrun_groups/homes.py
+++ b/libs/groups/burdockrun_groups/homes.py
@@ -46,6 +46,18 @@
     return ConnectionPlan(quota=quota, homes=(*_shuffle(node, near), *_shuffle(node, far)))
 
 
+def find_holders(
+    member_id: str, max_connections: int, nodes: Iterable[NodeEntry]
+) -> frozenset[str]:
+    """Return the nodes that have connections of their own to a member and see its state."""
+    entries = {entry.node: entry for entry in nodes}
+    available = max_connections - 1
+    if available // max(1, len(entries)) >= LEAST_OWN_CONNECTIONS or len(entries) <= 1:
+        return frozenset(entries)
+    staying = [entry for entry in entries.values() if not entry.leaving]
+    return frozenset(home.node for home in _find_homes(member_id, available, staying))
+
+
 def _find_homes(member_id: str, available: int, staying: list[NodeEntry]) -> list[NodeEntry]:
     """Return the homes of a member, as many in each failure domain."""
     by_name = {entry.node: entry for entry in staying}
--- a/libs/groups/burdockrun_groups/promotion.py
+++ b/libs/groups/burdockrun_groups/promotion.py
@@ -24,13 +24,14 @@
 class Evidence:
     """What the duty holder knows of a group.
 
-    `discovery_settled` is false for some time after the store was away, when entries may be
-    missing.
+    `suspecting_nodes` are those of the `watching_nodes`, which have connections of their own to the
+    primary, that cannot reach it. `discovery_settled` is false for some time after the store was
+    away, when entries may be missing.
     """
 
     members: Mapping[str, MemberEntry]
     suspecting_nodes: int
-    live_nodes: int
+    watching_nodes: int
     discovery_settled: bool
 
 
@@ -45,7 +46,7 @@
         return Reason.GONE if evidence.discovery_settled else Reason.NONE
     if entry.draining:
         return Reason.DRAINING if _has_successor(record, evidence) else Reason.NONE
-    if 2 * evidence.suspecting_nodes > evidence.live_nodes:
+    if 2 * evidence.suspecting_nodes > evidence.watching_nodes:
         return Reason.UNREACHABLE
     return Reason.NONE
 
--- a/tests/groups/test_homes.py
+++ b/tests/groups/test_homes.py
@@ -1,6 +1,6 @@
 """Tests of the plan of connections to a member."""
 
-from burdockrun_groups import NodeEntry, plan_connections
+from burdockrun_groups import NodeEntry, find_holders, plan_connections
 
 
 def build_nodes(count: int, domains: int, *, leaving: str = "") -> list[NodeEntry]:
@@ -59,3 +59,15 @@
     rest = [entry for entry in nodes if entry.node != lost]
     after = {home.node for home in plan_connections("m", 46, rest, "n1").homes}
     assert len(before - after) == 1
+
+
+def test_the_nodes_with_connections_of_their_own_are_those_of_the_plan() -> None:
+    """Guards against votes on a primary by nodes that only see its homes."""
+    for count, domains, limit in [(7, 4, 16), (87, 4, 46), (9, 2, 4), (1, 1, 4)]:
+        nodes = build_nodes(count, domains)
+        direct = {
+            entry.node
+            for entry in nodes
+            if not plan_connections("m", limit, nodes, entry.node).homes
+        }
+        assert find_holders("m", limit, nodes) == direct
--- a/tests/groups/test_promotion.py
+++ b/tests/groups/test_promotion.py
@@ -21,7 +21,7 @@
     return Evidence(
         members={entry.id: entry for entry in entries},
         suspecting_nodes=suspecting,
-        live_nodes=7,
+        watching_nodes=7,
         discovery_settled=settled,
     )
 
--- a/tests/site/test_homes.py
+++ b/tests/site/test_homes.py
@@ -177,3 +177,18 @@
         other = deployment.gateways[(asker + 1) % GATEWAYS].directory
         deployment.configure(7, databases=("urgent", "lookups"))
         await deployment.async_until(lambda: other.configuration.version == 7, 2.0)
+
+
+async def test_a_silent_primary_is_replaced_by_the_word_of_its_homes() -> None:
+    """Guards against a change that waits for nodes which see only their homes."""
+    async with async_deploy(GATEWAYS, MAX_CONNECTIONS) as deployment:
+        await async_settle(deployment)
+        client = await deployment.async_connect("urgent", (find_home(deployment, "a") + 1) % 4)
+        await client.async_query("READ ward")
+        deployment.members["a"].silent = True
+        started = asyncio.get_running_loop().time()
+        asyncio.create_task(client.async_query("READ ward"))  # noqa: RUF006
+        await deployment.async_until(lambda: bool(deployment.store.promotions))
+        assert asyncio.get_running_loop().time() - started < 3.0
+        suspects = [key for key in deployment.store.entries if "/suspects/" in key]
+        assert len(suspects) <= 1
