Plan connections of a starting node from the registrations of before

Cause: a node whose own registration had not been read took itself for alone and opened a connection to every member. A home that was still loading was passed over for 2 s. Ruled out: waiting for the own registration always (with 7 nodes it would delay each start by two trips to the store). A home is tried again after 0.5 s. Result: the test fails before and passes after.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -55,8 +55,10 @@
 # takes one connection to a member for so long, so that each node finds one after a restart of all.
 RESTRAINED_MS: Final = 1_200
 TICK_MS: Final = 50
-# A node that has failed another one is passed over for so long.
-PEER_RETRY_MS: Final = 2_000
+# A node that has failed another one is passed over for so long. Homes are soon tried again: after a
+# restart of all nodes they only take a moment longer.
+HOME_RETRY_MS: Final = 500
+ASKER_RETRY_MS: Final = 2_000
 PEER_TIMEOUT_MS: Final = 250
 # A copy of another node that is older than a question to the store would be is not followed.
 COPY_AGE_MS: Final = STORE_PACE_MS + STORE_WATCH_MS + 50
--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -30,6 +30,7 @@
     DUTY_KEY,
     GROUPS_PREFIX,
     NODES_PREFIX,
+    START_HOLD_MS,
     SUSPECTS_PREFIX,
 )
 from burdockrun_gateway.group import Group
@@ -67,9 +68,12 @@
         self._lapsed: dict[str, MemberEntry] = {}
         self._hints = hints
         self._node = entry.node
+        self._entry = entry
+        self._started_ms = app.clock.now_ms()
         self._node_key = NODES_PREFIX + entry.node
         self._node_left_ms = app.clock.now_ms()
         self._followers: list[NodeEntry] = []
+        self._planned_alone = False
 
         self.copy = Mirror(
             app,
@@ -144,6 +148,9 @@
 
     def tick(self) -> None:
         """Drop members that have not come back after an outage of the store."""
+        if not self.nodes and not self._planned_alone and self._is_start_over():
+            self._planned_alone = True
+            self._spread_duties()
         if self._lapsed and self.is_settled():
             self._lapsed.clear()
             self._spread_members()
@@ -256,7 +263,14 @@
                 group.set_planner(partial(self._plan_connections, limits.max_connections))
 
     def _plan_connections(self, max_connections: int, member_id: str) -> ConnectionPlan:
-        return plan_connections(member_id, max_connections, self.nodes.values(), self._node)
+        if not self.nodes and not self._is_start_over():
+            # Before the first registration is seen the size of the fleet is not known.
+            return ConnectionPlan(quota=0)
+        nodes = {self._node: self._entry, **self.nodes}
+        return plan_connections(member_id, max_connections, nodes.values(), self._node)
+
+    def _is_start_over(self) -> bool:
+        return self._app.clock.now_ms() >= self._started_ms + START_HOLD_MS
 
     def _is_follower(self, node: str) -> bool:
         """Return whether a node asks this one for changes of the store."""
--- a/libs/gateway/burdockrun_gateway/mirror.py
+++ b/libs/gateway/burdockrun_gateway/mirror.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from burdockrun_gateway.const import (
+    ASKER_RETRY_MS,
     COPY_AGE_MS,
     COPY_HISTORY,
     COPY_SOURCE,
@@ -54,7 +55,7 @@
         on_change: OnChange,
         on_confirmed: OnConfirmed,
     ) -> None:
-        self.askers = PeerChoice(app.clock)
+        self.askers = PeerChoice(app.clock, ASKER_RETRY_MS)
         self.items: dict[str, Item] = {}
         self.loaded = False
         self.confirmed_ms: int | None = None
--- a/libs/gateway/burdockrun_gateway/peer_choice.py
+++ b/libs/gateway/burdockrun_gateway/peer_choice.py
@@ -3,15 +3,14 @@
 from burdockrun_base import Clock
 from burdockrun_groups import NodeEntry
 
-from burdockrun_gateway.const import PEER_RETRY_MS
-
 
 class PeerChoice:
     """Nodes in the order in which they are asked; those that failed lately come last."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, retry_ms: int) -> None:
         self.entries: tuple[NodeEntry, ...] = ()
         self._clock = clock
+        self._retry_ms = retry_ms
         self._failed_ms: dict[str, int] = {}
 
     def pick_working(self) -> NodeEntry | None:
@@ -35,4 +34,4 @@
 
     def _has_failed(self, entry: NodeEntry) -> bool:
         failed_ms = self._failed_ms.get(entry.node)
-        return failed_ms is not None and self._clock.now_ms() < failed_ms + PEER_RETRY_MS
+        return failed_ms is not None and self._clock.now_ms() < failed_ms + self._retry_ms
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -23,6 +23,7 @@
     ESTIMATE_WEIGHT,
     HOME_LINKS,
     HOME_PASSED_OVER,
+    HOME_RETRY_MS,
     IDLE_LINK_MS,
     LAGGING_MS,
     LINK_LOST,
@@ -54,7 +55,7 @@
         same_domain: bool,
     ) -> None:
         self.entry = entry
-        self.homes = PeerChoice(app.clock)
+        self.homes = PeerChoice(app.clock, HOME_RETRY_MS)
         self._quota = 1
         self._warm = 1
         self.position: LogPosition | None = None
@@ -82,7 +83,7 @@
         """Limit the connections, half of which are kept without work, or use those of homes."""
         self.homes.entries = plan.homes
         self._quota = HOME_LINKS if plan.homes else plan.quota
-        self._warm = 1 if plan.homes else max(1, plan.quota // 2)
+        self._warm = 1 if plan.homes else min(plan.quota, max(1, plan.quota // 2))
 
     def expected_ms(self) -> float:
         """Return the time that an answer of the member is likely to take."""
@@ -297,7 +298,7 @@
     def _allowed(self) -> int:
         """Return how many connections this node may open now."""
         restrained = self._app.clock.now_ms() < self._restrained_until_ms
-        return 1 if restrained and not self.homes.entries else self._quota
+        return min(1, self._quota) if restrained and not self.homes.entries else self._quota
 
     def _open_more(self) -> None:
         if len(self._links) + self._opening >= self._allowed() or self.closed:
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -28,6 +28,7 @@
         self.oldest = 0
         self.down = False
         self.delay_s = 0.0
+        self.write_delay_s = 0.0
         self.watches = 0
         self.lose_next_write = False
         self.promotions: list[tuple[str, str, int]] = []
@@ -186,6 +187,7 @@
 
     async def _async_lease(self, request: web.Request) -> web.Response:
         await self._async_check()
+        await asyncio.sleep(self.write_delay_s)
         length = (await request.json())["TtlMs"] / 1000
         lease = max(self._leases, default=100) + 1
         self._leases[lease] = (asyncio.get_running_loop().time() + length, length)
--- a/tests/site/test_homes.py
+++ b/tests/site/test_homes.py
@@ -45,6 +45,20 @@
         assert all(member.connections() <= 3 for member in deployment.members.values())
 
 
+async def test_a_node_that_starts_counts_on_the_registrations_of_before() -> None:
+    """Guards against nodes that take the connections of homes when all start at once."""
+    async with async_deploy(0, MAX_CONNECTIONS) as deployment:
+        for number in range(20):
+            deployment.store.put(
+                f"burdockrun/nodes/old-{number}",
+                {"node": f"old-{number}", "domain": "nbg", "host": "127.0.0.1", "port": 1},
+            )
+        deployment.store.write_delay_s = 0.3
+        await deployment.async_add_gateway("node-1")
+        await asyncio.sleep(0.25)
+        assert all(member.most_connections == 0 for member in deployment.members.values())
+
+
 async def test_values_names_and_transactions_of_nodes_do_not_mix_at_a_home() -> None:
     """Guards against session state that stays on a shared connection."""
     async with async_deploy(GATEWAYS, MAX_CONNECTIONS) as deployment:
