--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -1,6 +1,5 @@
 """What this node learns from the shared store: tickets, members, agreed primaries, nodes."""
 
-import asyncio
 from collections.abc import Iterable
 from functools import partial
 from random import Random
@@ -37,6 +36,7 @@
 from burdockrun_gateway.mirror import Mirror
 from burdockrun_gateway.ports import Copies, Documents, Hints, Item, MemberConnector, SharedStore
 from burdockrun_gateway.records import load_ack, load_group, load_node, load_suspicion
+from burdockrun_gateway.signals import ChangeSignal
 
 
 class Directory:
@@ -58,7 +58,7 @@
         self.groups: dict[str, Group] = {}
         self.nodes: dict[str, NodeEntry] = {}
         self.suspicions: dict[str, Suspicion] = {}
-        self.changed = asyncio.Event()
+        self.changed = ChangeSignal()
         self._app = app
         self._documents = documents
         self._connector = connector
@@ -154,16 +154,7 @@
         if self._lapsed and self.is_settled():
             self._lapsed.clear()
             self._spread_members()
-            self._notify()
-
-    async def async_wait_changed(self, wait_ms: float) -> None:
-        """Wait until the store or the members have changed, at most for `wait_ms`."""
-        event = self.changed
-        try:
-            async with asyncio.timeout(wait_ms / 1000):
-                await event.wait()
-        except TimeoutError:
-            return
+            self.changed.notify()
 
     def group_revision(self, service: str) -> int:
         """Return the revision of a group's record, 0 when there is none."""
@@ -189,7 +180,7 @@
             else:
                 self._learn_own(item)
         self._spread_members()
-        self._notify()
+        self.changed.notify()
 
     def _learn_configuration(self, item: Item) -> None:
         if item.value is None:
@@ -364,7 +355,3 @@
             return
         for group in self.groups.values():
             group.confirm_record(sent_ms)
-
-    def _notify(self) -> None:
-        self.changed.set()
-        self.changed = asyncio.Event()
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -144,7 +144,7 @@
     async def async_open_session(self, database: str) -> Result[Relay, SessionFault]:
         """Return a session of a database, after a start as soon as it can be served."""
         while not self._is_start_over() and not self.directory.is_prepared(database):
-            await self.directory.async_wait_changed(START_POLL_MS)
+            await self.directory.changed.async_wait(START_POLL_MS)
         return self.open_session(database)
 
     def _is_start_over(self) -> bool:
--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -30,6 +30,7 @@
 )
 from burdockrun_gateway.pools import MemberPool
 from burdockrun_gateway.ports import MemberConnector
+from burdockrun_gateway.signals import ChangeSignal
 
 
 class Group:
@@ -46,7 +47,7 @@
         self._challenged_until_ms = 0
         self._leading = ""
         self._ending = False
-        self.changed = asyncio.Event()
+        self.changed = ChangeSignal()
         self._app = app
         self._domain = domain
         self._connector = connector
@@ -74,7 +75,7 @@
             self._app.events.write(
                 MEMBERS_CHANGED, service=self.service, members=_summarize(entries)
             )
-        self._notify()
+        self.changed.notify()
 
     def set_planner(self, plan_member: Callable[[str], ConnectionPlan]) -> None:
         """Plan the connections to each member anew, by its id."""
@@ -95,14 +96,14 @@
                 epoch=record.epoch,
                 previous=record.previous,
             )
-        self._notify()
+        self.changed.notify()
 
     def confirm_record(self, sent_ms: int) -> None:
         """Note that the agreed record was up to date when a question was sent."""
         had_grant = self.authority.has_record_grant(self._app.clock.now_ms())
         self.authority.confirm_record(None, sent_ms)
         if not had_grant:
-            self._notify()
+            self.changed.notify()
 
     def challenge(self, member_id: str) -> None:
         """Look at the primary at once, since another node cannot reach it."""
@@ -161,15 +162,6 @@
                 keeps_up=pool.keeps_up(),
             )
 
-    async def async_wait_changed(self, wait_ms: float) -> None:
-        """Wait until the members, the agreed primary or the grant have changed."""
-        event = self.changed
-        try:
-            async with asyncio.timeout(wait_ms / 1000):
-                await event.wait()
-        except TimeoutError:
-            return
-
     def tick(self) -> None:
         """Probe members that were not heard and note whether the primary is lost."""
         now_ms = self._app.clock.now_ms()
@@ -208,7 +200,7 @@
         had_primary = self.authority.primary(self._app.clock.now_ms())
         self.authority.report(pool.entry.id, status, sent_ms)
         if not had_primary and self.authority.primary(self._app.clock.now_ms()):
-            self._notify()
+            self.changed.notify()
 
     def _note_suspicion(self, primary: str, silence_ms: int) -> None:
         pool = self.pools.get(primary)
@@ -253,10 +245,6 @@
         if self.authority.primary(now_ms) == pool.entry.id and position.has_reached(floor):
             self.watermarks.add(self.authority.epoch(now_ms), sent_ms, position)
 
-    def _notify(self) -> None:
-        self.changed.set()
-        self.changed = asyncio.Event()
-
 
 def _same_process(one: MemberEntry, other: MemberEntry) -> bool:
     return (one.born_ms, one.host, one.port) == (other.born_ms, other.host, other.port)
--- a/libs/gateway/burdockrun_gateway/leases.py
+++ b/libs/gateway/burdockrun_gateway/leases.py
@@ -180,7 +180,7 @@
                 if self._may_be_free():
                     await self._async_take()
             else:
-                await self._directory.async_wait_changed(DUTY_WAIT_MS)
+                await self._directory.changed.async_wait(DUTY_WAIT_MS)
 
     def _may_be_free(self) -> bool:
         loaded = self._directory.copy.loaded and not self._declined
--- a/libs/gateway/burdockrun_gateway/placement.py
+++ b/libs/gateway/burdockrun_gateway/placement.py
@@ -42,7 +42,7 @@
                         attempt, attempt.refused_state, "no member is available"
                     )
                 attempt.tries -= 1
-                await attempt.group.async_wait_changed(min(hold_ms, HOLD_STEP_MS))
+                await attempt.group.changed.async_wait(min(hold_ms, HOLD_STEP_MS))
                 continue
             asked_ms = self._app.clock.now_ms()
             limit_ms = attempt.left_ms(ADMISSION_SHARE, asked_ms)
@@ -104,4 +104,4 @@
             attempt.excluded.add(pool.entry.id)
             return
         hold_ms = max(self._hold_left_ms(attempt), RETRY_DELAY_MS)
-        await attempt.group.async_wait_changed(min(hold_ms, HOLD_STEP_MS))
+        await attempt.group.changed.async_wait(min(hold_ms, HOLD_STEP_MS))
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -1,9 +1,7 @@
 """Connections of this node to one member: opening, sharing by rank, probing, closing."""
 
 import asyncio
-import heapq
 from collections.abc import Callable
-from itertools import count
 
 from burdockrun_base import Application, LogPosition
 from burdockrun_groups import ConnectionPlan, MemberEntry
@@ -36,6 +34,7 @@
 from burdockrun_gateway.links import LinkLostError, MemberLink
 from burdockrun_gateway.peer_choice import PeerChoice
 from burdockrun_gateway.ports import ConnectFault, MemberConnector, Urgency
+from burdockrun_gateway.waiting import WaitingLine
 
 OnPosition = Callable[["MemberPool", LogPosition, int], None]
 StatusReader = Callable[[Answer], MemberStatus | None]
@@ -73,8 +72,7 @@
         self._opening = 0
         self._open_after_ms = 0
         self._restrained_until_ms = app.clock.now_ms() + RESTRAINED_MS
-        self._waiters: list[tuple[int, int, asyncio.Future[MemberLink | None]]] = []
-        self._order = count()
+        self._waiting = WaitingLine()
         self._estimate_ms = DEFAULT_MEMBER_MS + (0.0 if same_domain else OTHER_DOMAIN_MS)
         self._probing = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -89,14 +87,14 @@
         """Return the time that an answer of the member is likely to take."""
         if not self._links:
             return self._estimate_ms + CONNECT_TIMEOUT_MS
-        waiting = len(self._waiters) + (0 if self._idle else 1)
+        waiting = len(self._waiting) + (0 if self._idle else 1)
         return self._estimate_ms * (1.0 + waiting / len(self._links))
 
     def expected_wait_ms(self) -> float:
         """Return the time that a new request is likely to wait for a connection."""
         if self._idle or len(self._links) + self._opening < self._allowed():
             return 0.0
-        return self._estimate_ms * (len(self._waiters) + 0.5) / max(1, len(self._links))
+        return self._estimate_ms * (len(self._waiting) + 0.5) / max(1, len(self._links))
 
     def is_usable(self) -> bool:
         """Return whether the pool has a connection that has not gone silent."""
@@ -159,26 +157,15 @@
         if self._idle:
             return self._take_idle(session)
         self._open_more()
-        future: asyncio.Future[MemberLink | None] = asyncio.get_running_loop().create_future()
-        heapq.heappush(self._waiters, (rank, next(self._order), future))
-        try:
-            async with asyncio.timeout(wait_ms / 1000):
-                return await future
-        except TimeoutError:
-            if future.done() and not future.cancelled():
-                return future.result()
-            return None
+        return await self._waiting.async_wait(rank, wait_ms)
 
     def release(self, link: MemberLink) -> None:
         """Give back a connection that has no open transaction and no statement in flight."""
         if link.lost or self.closed:
             self._drop(link)
             return
-        while self._waiters:
-            _, _, future = heapq.heappop(self._waiters)
-            if not future.done():
-                future.set_result(link)
-                return
+        if self._waiting.hand_over(link):
+            return
         link.idle_since_ms = self._app.clock.now_ms()
         self._idle.append(link)
 
@@ -259,10 +246,7 @@
             link.close()
             self._links.remove(link)
         self._idle.clear()
-        for _, _, future in self._waiters:
-            if not future.done():
-                future.set_result(None)
-        self._waiters.clear()
+        self._waiting.dismiss()
 
     def abort(self) -> None:
         """Close all connections at once."""
--- a/libs/gateway/burdockrun_gateway/relay.py
+++ b/libs/gateway/burdockrun_gateway/relay.py
@@ -241,7 +241,7 @@
             left_ms = until_ms - self._app.clock.now_ms()
             if left_ms <= 0:
                 return
-            await group.async_wait_changed(left_ms)
+            await group.changed.async_wait(left_ms)
 
     # Transactions
 
--- a/libs/gateway/burdockrun_gateway/reports.py
+++ b/libs/gateway/burdockrun_gateway/reports.py
@@ -26,7 +26,7 @@
     async def async_run(self) -> None:
         """Report changes until cancelled."""
         while True:
-            await self._directory.async_wait_changed(TICK_MS)
+            await self._directory.changed.async_wait(TICK_MS)
             for service, group in list(self._directory.groups.items()):
                 await self._async_report(service, group)
 
