Count a probe without an answer as silence after it was given up

Cause: a probe of a silent primary is given up after 500 ms, with its connection. With it went the only sign of silence, so the suspicion ended, was reported as ended, and began anew 300 ms later. Change: the oldest statement that had no answer when its connection was given up counts for 1.5 s, or until the member is heard. Test of the pool fails before, passes after.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -45,6 +45,8 @@
 # Members are asked for reports when the store has not confirmed the record for so long.
 CONFIRMATION_OVERDUE_MS: Final = STORE_PACE_MS + STORE_WATCH_MS + 150
 STATUS_TIMEOUT_MS: Final = 500
+# A statement that had no answer when its connection was given up counts as silence for so long.
+UNANSWERED_MEMORY_MS: Final = 1_500
 # After another node has reported a primary, a shorter silence of it is enough for so long.
 CHALLENGE_MS: Final = 2_000
 CHALLENGE_PROBE_MS: Final = 100
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -30,6 +30,7 @@
     RESTRAINED_MS,
     SILENCE_MS,
     STATUS_TIMEOUT_MS,
+    UNANSWERED_MEMORY_MS,
 )
 from burdockrun_gateway.links import LinkLostError, MemberLink
 from burdockrun_gateway.peer_choice import PeerChoice
@@ -63,6 +64,8 @@
         self.heard_ms = app.clock.now_ms()
         self.fault: ConnectFault | None = None
         self.closed = False
+        # When the oldest statement without an answer was sent on a connection that was given up.
+        self._unanswered_ms: int | None = None
         self._app = app
         self._connector = connector
         self._read_status = read_status
@@ -171,6 +174,9 @@
 
     def discard(self, link: MemberLink) -> None:
         """Close a connection whose state is not known."""
+        sent_ms = link.oldest_unanswered_ms()
+        if sent_ms is not None and self._unanswered_ms is None:
+            self._unanswered_ms = sent_ms
         link.close()
         self._drop(link)
 
@@ -204,6 +210,11 @@
     def tick(self) -> None:
         """Keep warm connections and drop those that are silent or not needed."""
         now_ms = self._app.clock.now_ms()
+        if self._unanswered_ms is not None and (
+            self.heard_ms > self._unanswered_ms
+            or now_ms - self._unanswered_ms >= UNANSWERED_MEMORY_MS
+        ):
+            self._unanswered_ms = None
         for link in list(self._links):
             sent_ms = link.oldest_unanswered_ms()
             if sent_ms is None and link not in self._idle:
@@ -273,11 +284,9 @@
 
     def _is_silent_for(self, duration_ms: int) -> bool:
         now_ms = self._app.clock.now_ms()
-        for link in self._links:
-            sent_ms = link.oldest_unanswered_ms()
-            if sent_ms is not None and now_ms - max(sent_ms, self.heard_ms) >= duration_ms:
-                return True
-        return False
+        unanswered = [link.oldest_unanswered_ms() for link in self._links]
+        sent = [sent_ms for sent_ms in (*unanswered, self._unanswered_ms) if sent_ms is not None]
+        return bool(sent) and now_ms - max(min(sent), self.heard_ms) >= duration_ms
 
     def _allowed(self) -> int:
         """Return how many connections this node may open now."""
--- /dev/null
+++ b/tests/gateway/test_pools.py
@@ -0,0 +1,97 @@
+"""Tests of the connections to one member."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from burdockrun_base import Application, ManualClock
+from burdockrun_gateway import Opened, Urgency
+from burdockrun_gateway.const import SILENCE_MS, UNANSWERED_MEMORY_MS
+from burdockrun_gateway.pools import MemberPool
+from burdockrun_groups import ConnectionPlan
+from burdockrun_statements import Answer, Statement, StatementKind, TransactionState
+from result import Ok, Result
+
+from tests.groups.common import build_entry
+
+STATUS = Statement(kind=StatementKind.STATUS)
+
+
+class Connection:
+    """Connection that answers when told to."""
+
+    def __init__(self, on_answer: Callable[[Answer], None]) -> None:
+        self.answer = on_answer
+
+    def send(self, statements: Sequence[Statement], urgency: Urgency) -> None:
+        """Send into the void."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+class Connector:
+    """Opens connections at once."""
+
+    def __init__(self) -> None:
+        self.opened: list[Connection] = []
+
+    async def async_open(
+        self, entry: object, on_answer: Callable[[Answer], None], on_lost: object, *, home: object
+    ) -> Result[Opened, Any]:
+        """Return a connection."""
+        self.opened.append(Connection(on_answer))
+        return Ok(Opened(connection=self.opened[-1], position=None))
+
+
+async def test_a_statement_without_an_answer_counts_after_its_connection_was_given_up() -> None:
+    """Guards against a suspicion that ends when a probe is given up."""
+    clock = ManualClock(100_000)
+    connector = Connector()
+    pool = MemberPool(
+        Application(clock=clock),
+        build_entry("a"),
+        connector,  # type: ignore[arg-type]
+        lambda answer: None,
+        lambda pool, position, sent_ms: None,
+        same_domain=True,
+    )
+    pool.set_plan(ConnectionPlan(quota=4))
+    link = await pool.async_acquire(0, None, 100)
+    assert link is not None
+    link.send([STATUS])
+    clock.advance(SILENCE_MS)
+    assert pool.is_silent()
+    pool.discard(link)
+    assert pool.is_silent()
+    other = await pool.async_acquire(0, None, 100)
+    assert other is not None
+    sent = other.send([STATUS])
+    connector.opened[-1].answer(Answer(state=TransactionState.IDLE))
+    await sent
+    assert not pool.is_silent()
+    pool.abort()
+    await asyncio.sleep(0)
+
+
+async def test_a_member_that_is_not_asked_again_is_not_silent_for_ever() -> None:
+    """Guards against a replica that is passed over for one lost answer."""
+    clock = ManualClock(100_000)
+    pool = MemberPool(
+        Application(clock=clock),
+        build_entry("b"),
+        Connector(),  # type: ignore[arg-type]
+        lambda answer: None,
+        lambda pool, position, sent_ms: None,
+        same_domain=True,
+    )
+    link = await pool.async_acquire(0, None, 100)
+    assert link is not None
+    link.send([STATUS])
+    clock.advance(SILENCE_MS)
+    pool.discard(link)
+    clock.advance(UNANSWERED_MEMORY_MS)
+    pool.tick()
+    assert not pool.is_silent()
+    pool.abort()
+    await asyncio.sleep(0)
