Find a port number that is free for TCP and UDP in tests of homes

Ruled out: a fault of the product (its ports are given by the settings). Change: the test listens on TCP first and tries other numbers until both are free.

--- a/tests/site/common.py
+++ b/tests/site/common.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from random import Random
@@ -25,6 +26,7 @@
 SERVICE = "wendedb"
 READY_S = 8.0
 POLL_S = 0.01
+PORT_TRIES = 20
 STALL_S = 0.05
 STALL_SHARE = 0.2
 
@@ -107,8 +109,8 @@
         copies = PeerCopies()
         copy_listener = open_listener("127.0.0.1", 0)
         loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(lambda: hints, ("127.0.0.1", 0))
-        port = transport.get_extra_info("sockname")[1]
+        peer_listener = await _async_open_peer_port(hints)
+        port = peer_listener.getsockname()[1]
         gateway = Gateway(
             app,
             NodeEntry(
@@ -127,7 +129,7 @@
             rng=Random(len(self.gateways)),
         )
         hints.on_hint = gateway.directory.handle_hint
-        peers = await loop.create_server(lambda: PeerConnection(gateway), "127.0.0.1", port)
+        peers = await loop.create_server(lambda: PeerConnection(gateway), sock=peer_listener)
         server = await loop.create_server(lambda: ClientConnection(app, gateway), "127.0.0.1", 0)
         await async_serve_page(app, copy_listener, build_copy_page(gateway.tell_changes))
         gateway.start()
@@ -247,6 +249,21 @@
         return True
 
 
+async def _async_open_peer_port(hints: HintPort) -> socket.socket:
+    """Listen for hints and for other nodes at one port number that is free for both."""
+    loop = asyncio.get_running_loop()
+    for _ in range(PORT_TRIES):
+        listener = open_listener("127.0.0.1", 0)
+        address = listener.getsockname()
+        try:
+            await loop.create_datagram_endpoint(lambda: hints, local_addr=address)
+        except OSError:
+            listener.close()
+        else:
+            return listener
+    raise OSError("no port number is free for both TCP and UDP")
+
+
 class Stopwatch:
     """Time in seconds, without the time for which the machine did not run this process.
 
