Stop a successor that still leads an earlier term before it is named

Cause: a primary that was cut off was replaced; its successor crashed while the cut healed. Ruled out: grants (all nodes had stopped using the crashed successor 1.7 s before), late arrival of held-up statements. Change: members that say that they lead are stopped with the term of the change before one is chosen; one that does not obey is left out.

--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -217,6 +217,7 @@
             record.previous,
             Statement(kind=StatementKind.PAUSE, term=record.held_term),
         )
+        statuses = await self._async_stop_leaders(group, record, statuses)
         if 2 * len(statuses) <= len(group.authority.members):
             raise _AbandonedError("no majority of the members can be held")
         others = set(group.authority.members) - {record.previous}
@@ -224,6 +225,26 @@
             raise _AbandonedError("a replica that may have the last commits does not answer")
         return statuses
 
+    async def _async_stop_leaders(
+        self, group: Group, record: GroupRecord, statuses: dict[str, MemberStatus]
+    ) -> dict[str, MemberStatus]:
+        """Make members that still lead an earlier term replicas; leave out those that do not obey.
+
+        One that was cut off while it was replaced goes on as a primary, and may now take over.
+        """
+        stopped = dict(statuses)
+        for member_id, status in statuses.items():
+            if not status.is_primary:
+                continue
+            pool = group.pools.get(member_id)
+            step_down = Statement(kind=StatementKind.STEP_DOWN, term=record.held_term)
+            answered = await pool.async_status(step_down) if pool is not None else None
+            if answered is None or answered[0].is_primary:
+                del stopped[member_id]
+            else:
+                stopped[member_id] = answered[0]
+        return stopped
+
     def _is_synchronous(self, group: Group) -> bool:
         """Return whether each acknowledged commit is in the log of some replica."""
         limits = self._directory.configuration.services.get(group.service)
--- a/tests/site/test_gateway.py
+++ b/tests/site/test_gateway.py
@@ -136,6 +136,25 @@
         assert len({fence for _, _, fence in deployment.store.promotions}) == 1
 
 
+async def test_a_successor_that_still_leads_an_earlier_term_is_stopped_first() -> None:
+    """Guards against writes at an old primary that takes over again before it is promoted."""
+    async with async_deploy(gateways=1) as deployment:
+        client = await deployment.async_connect("urgent")
+        await client.async_query("WRITE ward v1")
+        stale = deployment.members["c"]
+        stale.primary = True
+        for name in "ab":
+            deployment.members[name].term = 2
+        deployment.store.promote_delay_s = 0.5
+        await deployment.members["a"].async_stop()
+        await deployment.async_until_done(client, "WRITE ward v2")
+        assert [member for _, member, _ in deployment.store.promotions] == ["c"]
+        assert [entry.term for entry in stale.log if entry.items.get("ward") == "v2"] == [
+            stale.term
+        ]
+        assert stale.term > 2
+
+
 async def test_a_draining_primary_hands_over_without_a_lost_write() -> None:
     """Guards against acknowledged writes that the next primary lacks."""
     async with async_deploy() as deployment:
