Refuse a request without time left before it is forwarded

Cause: RequestRouter forwarded a request whose deadline is 0 ms when it was routed in the millisecond of its arrival; its deadline then passed while it was at the home, so a write was answered unknown/answer_lost although it should not have run. A re-route could do the same after the deadline. Change: RequestChecker refuses a deadline of 0 ms as not_run/deadline, and _route refuses a request whose deadline has passed before it is sent to a home.

--- a/conftest.py
+++ b/conftest.py
@@ -11,7 +11,6 @@
     """Return the ids of the listed tests with their descriptions.
 
     A line is `<test id> | <command and seed> | <what was seen> | <issue>`; `#` starts a comment.
-    The second field of a test that fails only in some runs begins with `flaky:`.
     """
     if not KNOWN_RED.exists():
         return {}
@@ -26,10 +25,8 @@
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Mark the listed tests as expected failures; one that passes fails the run, unless flaky."""
+    """Mark the listed tests as expected failures; one that passes fails the run."""
     known = read_known_red()
     for item in items:
         if item.nodeid in known:
-            text = known[item.nodeid]
-            strict = not text.startswith("flaky:")
-            item.add_marker(pytest.mark.xfail(reason=text, strict=strict))
+            item.add_marker(pytest.mark.xfail(reason=known[item.nodeid], strict=True))
--- a/libs/proxy/burdockrun_proxy/checks.py
+++ b/libs/proxy/burdockrun_proxy/checks.py
@@ -62,6 +62,8 @@
         token = self._decode_token(request)
         if isinstance(token, Err):
             return token
+        if request.deadline_ms == 0:
+            return Err(refuse(request, Code.DEADLINE, "no time is left to run the request"))
         return Ok(
             CheckedRequest(
                 service=service,
--- a/libs/proxy/burdockrun_proxy/entry.py
+++ b/libs/proxy/burdockrun_proxy/entry.py
@@ -229,6 +229,11 @@
 
     def _route(self, pending: PendingRequest, now_ms: int) -> None:
         pending.awaiting_route = False
+        if now_ms >= pending.deadline_ms:
+            self._finish_refused(
+                pending, self._choose_expiry_code(pending), "deadline passed before it ran", now_ms
+            )
+            return
         if pending.attempt >= MAX_ATTEMPTS:
             self._finish_refused(
                 pending, self._choose_expiry_code(pending), "too many attempts", now_ms
--- a/tests/proxy/test_node.py
+++ b/tests/proxy/test_node.py
@@ -4,7 +4,7 @@
 
 import pytest
 from burdockrun_bench.node_host import NodeHost
-from burdockrun_messages import DrainRequested, Outcome, TransactionStep
+from burdockrun_messages import Code, DrainRequested, Outcome, TransactionStep
 from burdockrun_proxy import NAIVE_POLICIES
 
 from tests.proxy.common import DATABASE, VirtualDeployment
@@ -77,6 +77,19 @@
     assert read.result == (1 if found.outcome is Outcome.DONE else None)
 
 
+@pytest.mark.parametrize("statement", ["PUT key 1", "GET key"])
+def test_request_without_time_left_is_never_forwarded(statement: str) -> None:
+    """Guards against a request whose deadline is 0 ms that is forwarded in its first millisecond.
+
+    Its outcome was then unknown, although it should not have run at all.
+    """
+    deployment = VirtualDeployment()
+    for host in deployment.cluster.nodes:
+        answer = deployment.execute(host, statement, deadline_ms=0)
+        assert (answer.outcome, answer.code) == (Outcome.NOT_RUN, Code.DEADLINE)
+    assert deployment.execute(deployment.cluster.nodes[0], "GET key").result is None
+
+
 def test_request_repeated_through_another_proxy_runs_once() -> None:
     """Guards against a duplicate write when a caller repeats its request."""
     deployment = VirtualDeployment()
