Tell followers the positions of the primaries with the copies of the store

Nodes that go through homes cannot suspect a primary and used the answers only for the position that reads need. Change: a node that others follow asks a primary for its position before it tells them that it has polled the store, unless it knows one of 250 ms ago; its answer carries the positions with their ages. Followers probe only when that fails. Homes probe as before, so a loss is detected as before. Result: test of a fleet at rest fails before (each node asks once a second) and passes; tests/site homes pass.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -50,6 +50,13 @@
 REPORT_INTERVAL_MS: Final = 500
 # Members are asked for reports when the store has not confirmed the group record for this long.
 CONFIRMATION_OVERDUE_MS: Final = STORE_POLL_INTERVAL_MS + STORE_WATCH_MS + 150
+# A node that others follow asks a primary for its position before it tells them of a poll of the
+# store, unless it knows one of this age. With the interval of the polls, a position is then younger
+# than the shortest staleness that reads usually accept, 1.5 s.
+SHARED_POSITION_REFRESH_MS: Final = 250
+# Followers hear of the poll after this time, in which the primaries answer.
+SHARED_POSITION_WAIT_MS: Final = 30
+MAX_SHARED_POSITION_AGE_MS: Final = 1_500
 STATUS_TIMEOUT_MS: Final = 500
 # A statement that was unanswered when its connection was closed counts as silence of the member for
 # this long.
--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -1,6 +1,8 @@
 """Configuration, members, primaries and nodes, as read from the shared store."""
 
+import asyncio
 from collections.abc import Iterable
+from dataclasses import replace
 from random import Random
 
 from burdockrun_base import Application
@@ -25,6 +27,7 @@
     GROUPS_PREFIX,
     NODES_PREFIX,
     PROMOTION_LEASE_KEY,
+    SHARED_POSITION_WAIT_MS,
     START_WAIT_MS,
     SUSPECTS_PREFIX,
 )
@@ -33,8 +36,10 @@
     ChangeNotifier,
     DocumentReader,
     Item,
+    Listing,
     MemberConnector,
     PeerCopyReader,
+    SharedPosition,
     SharedStore,
 )
 from burdockrun_gateway.records import load_ack, load_group, load_node, load_suspicion
@@ -86,6 +91,7 @@
             rng=rng,
             on_change=self._handle_items,
             on_confirmed=self._handle_confirmed,
+            on_positions=self._learn_positions,
         )
 
     def handle_change_notification(self, host: str) -> None:
@@ -352,9 +358,33 @@
             for ack in acks
         )
 
+    def list_changes(self, after: int) -> Listing:
+        """Return the changes after a revision and the positions of the primaries."""
+        shared = (group.share_position() for group in self.groups.values())
+        positions = tuple(one for one in shared if one is not None)
+        return replace(self.store_copy.list_changes(after), positions=positions)
+
+    def _learn_positions(self, positions: tuple[SharedPosition, ...], sent_ms: int) -> None:
+        for shared in positions:
+            group = self.groups.get(shared.service)
+            if group is not None:
+                group.learn_position(shared, sent_ms)
+
     def _handle_confirmed(self, sent_ms: int) -> None:
-        self._notify(self.layout.followers)
-        if self._node_key not in self.store_copy.items:
-            return
+        if self._node_key in self.store_copy.items:
+            for group in self.groups.values():
+                group.confirm_record(sent_ms)
+        if self.layout.followers:
+            self._notify_followers()
+
+    def _notify_followers(self) -> None:
+        """Tell the followers that the store has been polled, once the primaries have answered."""
         for group in self.groups.values():
-            group.confirm_record(sent_ms)
+            group.refresh_position()
+        wait_ms = 0 if self._is_changing_primaries() else SHARED_POSITION_WAIT_MS
+        asyncio.get_running_loop().call_later(
+            wait_ms / 1000, lambda: self._notify(self.layout.followers)
+        )
+
+    def _is_changing_primaries(self) -> bool:
+        return any(group.needs_change() for group in self.groups.values())
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -170,9 +170,7 @@
 
     def list_changes(self, host: str, after: int) -> Listing | None:
         """Return changes of the store for the node at `host`; None if it is not registered."""
-        return (
-            self.directory.store_copy.list_changes(after) if self.directory.is_peer(host) else None
-        )
+        return self.directory.list_changes(after) if self.directory.is_peer(host) else None
 
     def open_shared(
         self,
--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -17,6 +17,7 @@
 
 from burdockrun_gateway.const import (
     CONFIRMATION_OVERDUE_MS,
+    MAX_SHARED_POSITION_AGE_MS,
     MEMBER_REACHED,
     MEMBER_SUSPECTED,
     MEMBERS_CHANGED,
@@ -26,10 +27,11 @@
     PRIMARY_LEARNED,
     PROBE_INTERVAL_MS,
     REPORT_INTERVAL_MS,
+    SHARED_POSITION_REFRESH_MS,
     SILENCE_MS,
 )
 from burdockrun_gateway.pools import MemberPool
-from burdockrun_gateway.ports import MemberConnector
+from burdockrun_gateway.ports import MemberConnector, SharedPosition
 from burdockrun_gateway.signals import ChangeSignal
 
 
@@ -176,10 +178,41 @@
                 keeps_up=pool.keeps_up(),
             )
 
+    def share_position(self) -> SharedPosition | None:
+        """Return the position of the primary for nodes that follow this one, if it is recent."""
+        now_ms = self._app.clock.now_ms()
+        position, known_ms = self.watermarks.newest(), self.watermarks.newest_ms()
+        if position is None or known_ms is None or now_ms - known_ms > MAX_SHARED_POSITION_AGE_MS:
+            return None
+        return SharedPosition(
+            service=self.service,
+            epoch=self.watermarks.epoch,
+            position=position,
+            age_ms=now_ms - known_ms,
+        )
+
+    def learn_position(self, shared: SharedPosition, sent_ms: int) -> None:
+        """Apply a position that another node was asked for at `sent_ms`."""
+        if shared.epoch and shared.epoch == self.primary_lease.epoch(self._app.clock.now_ms()):
+            self.watermarks.add(shared.epoch, sent_ms - shared.age_ms, shared.position)
+
+    def refresh_position(self) -> None:
+        """Ask the primary for its position, unless a recent one is known."""
+        pool = self.primary_pool()
+        if pool is not None and self._is_position_older_than(SHARED_POSITION_REFRESH_MS):
+            self._probed_ms[pool.entry.id] = self._app.clock.now_ms()
+            self._start_probe(pool)
+
+    def _is_position_older_than(self, age_ms: int) -> bool:
+        known_ms = self.watermarks.newest_ms()
+        return known_ms is None or self._app.clock.now_ms() - known_ms >= age_ms
+
     def tick(self) -> None:
         """Probe members and update the suspicion of the primary.
 
-        All members are probed while reports are needed, otherwise only a silent primary.
+        All members are probed while reports are needed, otherwise only a silent primary, by the
+        nodes that may suspect it. The others learn its position with their copies of the store and
+        probe only if that fails.
         """
         now_ms = self._app.clock.now_ms()
         record = self.primary_lease.record
@@ -190,8 +223,10 @@
         for member_id, pool in self.pools.items():
             pool.tick()
             interval_ms = REPORT_INTERVAL_MS if needs_reports else probe_ms
+            if pool.homes.entries:
+                interval_ms = max(interval_ms, REPORT_INTERVAL_MS)
             should_probe = needs_reports or (
-                member_id == primary and now_ms - pool.last_contact_ms >= probe_ms
+                member_id == primary and self._is_uncertain(pool, now_ms, probe_ms)
             )
             if should_probe and now_ms - self._probed_ms.get(member_id, 0) >= interval_ms:
                 self._probed_ms[member_id] = now_ms
@@ -201,6 +236,12 @@
         )
         self._check_leadership(now_ms)
 
+    def _is_uncertain(self, pool: MemberPool, now_ms: int, probe_ms: int) -> bool:
+        """Return whether a primary has to be probed, to detect its loss or for its position."""
+        if pool.homes.entries:
+            return self._is_position_older_than(MAX_SHARED_POSITION_AGE_MS)
+        return now_ms - pool.last_contact_ms >= probe_ms
+
     def close(self) -> None:
         """Close all connections."""
         for task in self._tasks:
--- a/libs/gateway/burdockrun_gateway/ports.py
+++ b/libs/gateway/burdockrun_gateway/ports.py
@@ -41,18 +41,33 @@
     value: bytes | None = None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SharedPosition:
+    """Log position of the primary of a group, as another node knows it.
+
+    `epoch` identifies the leadership. The position was requested from the primary `age_ms` ago.
+    """
+
+    service: str
+    epoch: str
+    position: LogPosition
+    age_ms: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Listing:
     """Items or changes, complete up to the store's revision `as_of`.
 
     `complete` says that all items are listed, and not only changes. In a listing from the copy of
-    another node, `age_ms` is how long ago the store was polled.
+    another node, `age_ms` is how long ago the store was polled, and `positions` are those that the
+    node knows of the primaries.
     """
 
     items: tuple[Item, ...]
     as_of: int
     complete: bool = False
     age_ms: int = 0
+    positions: tuple[SharedPosition, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/libs/gateway/burdockrun_gateway/records.py
+++ b/libs/gateway/burdockrun_gateway/records.py
@@ -8,7 +8,7 @@
 from burdockrun_groups import GroupRecord, NodeEntry, Suspicion
 from result import Err, Ok, Result
 
-from burdockrun_gateway.ports import Item, Listing
+from burdockrun_gateway.ports import Item, Listing, SharedPosition
 
 
 def dump_group(record: GroupRecord) -> bytes:
@@ -127,6 +127,10 @@
                 ]
                 for item in listing.items
             ],
+            "positions": [
+                [one.service, one.epoch, one.position.term, one.position.index, one.age_ms]
+                for one in listing.positions
+            ],
         },
         separators=(",", ":"),
     ).encode()
@@ -150,6 +154,15 @@
                 as_of=int(fields["as_of"]),
                 age_ms=int(fields["age_ms"]),
                 complete=bool(fields["complete"]),
+                positions=tuple(
+                    SharedPosition(
+                        service=str(service),
+                        epoch=str(epoch),
+                        position=LogPosition(term=int(term), index=int(index)),
+                        age_ms=int(age_ms),
+                    )
+                    for service, epoch, term, index, age_ms in fields.get("positions", ())
+                ),
             )
         )
     except (KeyError, TypeError, ValueError) as error:
--- a/libs/gateway/burdockrun_gateway/store_copy.py
+++ b/libs/gateway/burdockrun_gateway/store_copy.py
@@ -28,7 +28,14 @@
     STORE_WATCH_MS,
 )
 from burdockrun_gateway.peer_selector import PeerSelector
-from burdockrun_gateway.ports import Item, Listing, PeerCopyReader, SharedStore, StoreFault
+from burdockrun_gateway.ports import (
+    Item,
+    Listing,
+    PeerCopyReader,
+    SharedPosition,
+    SharedStore,
+    StoreFault,
+)
 
 # Age of a copy that has never been up to date.
 NEVER_CURRENT_AGE_MS: Final = 1_000_000_000
@@ -37,6 +44,8 @@
 OnChange = Callable[[list[Item]], None]
 # Called with the time at which the store was polled for the data, by this node or a copy source.
 OnConfirmed = Callable[[int], None]
+# Called with the positions that a copy source knows, and the time at which it was asked.
+OnPositions = Callable[[tuple[SharedPosition, ...], int], None]
 
 
 class StoreCopy:
@@ -55,6 +64,7 @@
         rng: Random,
         on_change: OnChange,
         on_confirmed: OnConfirmed,
+        on_positions: OnPositions = lambda positions, sent_ms: None,
     ) -> None:
         self.copy_sources = PeerSelector(app.clock, COPY_SOURCE_RETRY_MS)
         self.items: dict[str, Item] = {}
@@ -69,6 +79,7 @@
         self._rng = rng
         self._on_change = on_change
         self._on_confirmed = on_confirmed
+        self._on_positions = on_positions
         self.as_of = 0
         self._poll_interval_ms = STORE_POLL_INTERVAL_MS
         self._wake = asyncio.Event()
@@ -123,6 +134,7 @@
                 delay_ms = 0.0
                 self._failures = 0
                 self._confirm(sent_ms, polled.ok_value.age_ms)
+                self._on_positions(polled.ok_value.positions, sent_ms)
                 await self._async_pause(sent_ms)
                 continue
             if polled.err_value is StoreFault.COMPACTED and not self._must_list:
--- a/libs/groups/burdockrun_groups/watermarks.py
+++ b/libs/groups/burdockrun_groups/watermarks.py
@@ -62,6 +62,10 @@
         """Return the newest position."""
         return self.samples[-1].position if self.samples else None
 
+    def newest_ms(self) -> int | None:
+        """Return when the newest position was requested."""
+        return self.samples[-1].sent_ms if self.samples else None
+
     def required(self, started_ms: int, max_staleness_ms: int) -> Requirement | None:
         """Return the lowest position required of a read that started at `started_ms`.
 
--- a/tests/site/members.py
+++ b/tests/site/members.py
@@ -52,6 +52,7 @@
         self.log: list[Commit] = []
         self.unapplied = 0
         self.executed: list[ExecutedStatement] = []
+        self.controls: list[str] = []
         self.lose_answer_to = ""
         self.silent = False
         self.delay_s = 0.0
@@ -149,6 +150,7 @@
         if session.state == FAILED and word not in {"ROLLBACK", "COMMIT"}:
             return ["ERROR MALFORMED -"]
         if word in {"STATUS", "PAUSE", "RESUME", "STEPDOWN"}:
+            self.controls.append(word)
             return self._control(word, int(fields[0]) if fields else 0)
         return self._execute_statement(session, request_id, word, fields)
 
--- a/tests/site/test_homes.py
+++ b/tests/site/test_homes.py
@@ -1,8 +1,10 @@
 """Tests of gateways that reach members through each other."""
 
 import asyncio
+import time
 
 from burdockrun_gateway import Gateway
+from burdockrun_gateway.group import Group
 
 from tests.site.common import (
     SERVICE,
@@ -53,6 +55,45 @@
         assert all(member.connections() <= 3 for member in deployment.members.values())
 
 
+async def test_a_fleet_at_rest_probes_a_primary_as_often_as_a_few_nodes_would() -> None:
+    """Guards against health checks that grow with the fleet, at rest and on calm days.
+
+    Only the home of the primary, which detects its loss, and the copy source, which tells the
+    others its position, ask the primary.
+    """
+    async with async_deploy(GATEWAYS, MAX_CONNECTIONS) as deployment:
+        await async_wait_for_homes(deployment)
+        await asyncio.sleep(1.5)
+        primary = deployment.members["a"]
+        primary.controls.clear()
+        began = time.monotonic()
+        await asyncio.sleep(3.0)
+        assert len(primary.controls) <= 2 * (time.monotonic() - began + 1.0)
+        assert all(not deployment.members[name].controls for name in "bc")
+
+
+async def test_followers_know_how_far_the_primary_is_without_asking_it() -> None:
+    """Guards against reads that go to the primary since a node at rest knows no recent position."""
+    async with async_deploy(GATEWAYS, MAX_CONNECTIONS) as deployment:
+        await async_wait_for_homes(deployment)
+        client = await deployment.async_connect("urgent", find_home(deployment, "a"))
+        assert error_of(await client.async_query("WRITE ward v1")) == ""
+        written = deployment.members["a"].position()
+        for gateway in deployment.gateways:
+            group = gateway.directory.groups[SERVICE]
+
+            def knows(group: Group = group) -> bool:
+                newest = group.watermarks.newest()
+                return newest is not None and f"{newest.term}.{newest.index}" == written
+
+            await deployment.async_wait_until(knows)
+        await asyncio.sleep(2.0)
+        for gateway in deployment.gateways:
+            watermarks = gateway.directory.groups[SERVICE].watermarks
+            now_ms = gateway.directory.store_copy.confirmed_ms or 0
+            assert watermarks.required(now_ms, 1_500) is not None
+
+
 async def test_a_starting_node_counts_the_nodes_that_are_already_registered() -> None:
     """Guards against nodes that take the connections of the homes when all start at once."""
     async with async_deploy(0, MAX_CONNECTIONS) as deployment:
