Choose the newest log, serve nodes the store turns away, check groups when something changes

Cause: choose_successor preferred a member that stays over one with the newer log, so writes that only the draining member had were lost. A node whose registration lapsed, since the store turned it away for a while, was refused by all homes although it served its clients. A host whose registration lapsed without announcing its end is served for 60 s. A group is checked when its members, record or suspicions have changed, and once a second.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -79,6 +79,8 @@
 HOME_RETRY_MS: Final = 500
 COPY_SOURCE_RETRY_MS: Final = 2_000
 PEER_TIMEOUT_MS: Final = 250
+# A node whose registration has lapsed, though it had not announced its end, is served this long.
+LAPSED_PEER_MS: Final = 60_000
 # A copy of another node that is older than this is not used. The copy of a node that reaches the
 # store is at most as old as one poll interval and one wait for a change.
 MAX_COPY_AGE_MS: Final = STORE_POLL_INTERVAL_MS + STORE_WATCH_MS + 50
@@ -108,6 +110,9 @@
 # position it is known to have applied.
 LAGGING_BACKOFF_MS: Final = 500
 
+# The holder of the promotion lease checks a group when something about it has changed, and all
+# groups at this interval, since the number of nodes that watch a primary may have changed too.
+SUPERVISION_INTERVAL_MS: Final = 1_000
 PROMOTION_POLL_MS: Final = 25
 PROMOTION_TIMEOUT_MS: Final = 4_000
 CATCH_UP_TIMEOUT_MS: Final = 500
--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -15,7 +15,6 @@
     MemberEntry,
     NodeEntry,
     Route,
-    Suspicion,
 )
 from result import Err
 
@@ -25,6 +24,7 @@
     DISCOVERY_SETTLE_MS,
     DOCUMENT_UNUSABLE,
     GROUPS_PREFIX,
+    LAPSED_PEER_MS,
     NODES_PREFIX,
     PROMOTION_LEASE_KEY,
     SHARED_POSITION_WAIT_MS,
@@ -66,7 +66,8 @@
         self.groups: dict[str, Group] = {}
         self.layout = FleetLayout(entry)
         self.nodes = self.layout.nodes
-        self.suspicions: dict[str, Suspicion] = {}
+        # By service and reporting node, the member that the node cannot reach.
+        self.suspicions: dict[str, dict[str, str]] = {}
         self.changed = ChangeSignal()
         self._app = app
         self._documents = documents
@@ -82,6 +83,8 @@
         self._started_ms = app.clock.now_ms()
         self._node_key = NODES_PREFIX + entry.node
         self._last_node_left_ms = app.clock.now_ms()
+        # Addresses of nodes whose registrations have lapsed, and when.
+        self._lapsed_hosts: dict[str, int] = {}
         self._planned_without_nodes = False
 
         self.store_copy = StoreCopy(
@@ -286,8 +289,15 @@
         return self._app.clock.now_ms() >= self._started_ms + START_WAIT_MS
 
     def is_peer(self, host: str) -> bool:
-        """Return whether a registered node has this address."""
-        return self.layout.has_host(host)
+        """Return whether a registered node has this address, or one that the store has lost.
+
+        A node that the store turns away for a while cannot renew its registration. It still serves
+        its clients through homes. A node that has announced its end is not known any more.
+        """
+        if self.layout.has_host(host):
+            return True
+        lapsed_ms = self._lapsed_hosts.get(host)
+        return lapsed_ms is not None and self._app.clock.now_ms() < lapsed_ms + LAPSED_PEER_MS
 
     def _learn_gateway_item(self, item: Item) -> None:
         """Apply an item that a gateway has written."""
@@ -320,7 +330,7 @@
         name = item.key.removeprefix(NODES_PREFIX)
         if item.value is None:
             nodes[name] = None
-            self._last_node_left_ms = self._app.clock.now_ms()
+            self._note_node_left(name)
             return
         decoded = load_node(item.value)
         if isinstance(decoded, Err):
@@ -328,19 +338,34 @@
             return
         nodes[name] = decoded.ok_value
 
+    def _note_node_left(self, name: str) -> None:
+        now_ms = self._app.clock.now_ms()
+        self._last_node_left_ms = now_ms
+        self._lapsed_hosts = {
+            host: lapsed_ms
+            for host, lapsed_ms in self._lapsed_hosts.items()
+            if now_ms < lapsed_ms + LAPSED_PEER_MS
+        }
+        known = self.nodes.get(name)
+        if known is not None and not known.leaving:
+            self._lapsed_hosts[known.host] = now_ms
+
     def _learn_suspicion(self, item: Item) -> None:
+        service, _, node = item.key.removeprefix(SUSPECTS_PREFIX).rpartition("/")
+        group = self.groups.get(service)
+        if group is not None:
+            group.evidence_changed = True
+        self.suspicions.get(service, {}).pop(node, None)
         if item.value is None:
-            self.suspicions.pop(item.key, None)
             return
         decoded = load_suspicion(item.value)
         if isinstance(decoded, Err):
             self._app.events.write(DOCUMENT_UNUSABLE, key=item.key, reason=decoded.err_value)
             return
-        suspicion = decoded.ok_value
-        self.suspicions[item.key] = suspicion
-        group = self.groups.get(suspicion.service)
-        if group is not None and suspicion.node != self._node:
-            group.probe_suspect(suspicion.member)
+        member = decoded.ok_value.member
+        self.suspicions.setdefault(service, {})[node] = member
+        if group is not None and node != self._node:
+            group.probe_suspect(member)
 
     def all_stopped(self, service: str, epoch: int, revision: int) -> bool:
         """Return whether no node can still use the primary that led before `epoch`.
--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -53,6 +53,8 @@
         self.watermarks = Watermarks()
         self.pools: dict[str, MemberPool] = {}
         self.suspected = ""
+        # Whether the holder of the promotion lease has to check the primary.
+        self.evidence_changed = True
         self._peer_suspicion_until_ms = 0
         self._last_primary = ""
         self._end_announced = False
@@ -68,6 +70,7 @@
     def set_members(self, entries: dict[str, MemberEntry]) -> None:
         """Replace the members by those that discovery lists."""
         before = self.primary_lease.members
+        self.evidence_changed = True
         self.primary_lease.set_members(entries)
         for member_id, entry in entries.items():
             known = self.pools.get(member_id)
@@ -104,6 +107,7 @@
         known = self.primary_lease.record
         if not self.primary_lease.learn_record(record):
             return
+        self.evidence_changed = True
         if known is None or (known.primary, known.epoch) != (record.primary, record.epoch):
             self._app.events.write(
                 PRIMARY_LEARNED,
@@ -275,6 +279,7 @@
         event = MEMBER_SUSPECTED if suspected else MEMBER_REACHED
         self._app.events.write(event, service=self.service, member=suspected or self.suspected)
         self.suspected = suspected
+        self.evidence_changed = True
 
     def _check_leadership(self, now_ms: int) -> None:
         """Discard unanswered statements at a former primary, unless its end was planned.
--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -26,6 +26,7 @@
     PROMOTION_POLL_MS,
     PROMOTION_RETRY_MS,
     PROMOTION_TIMEOUT_MS,
+    SUPERVISION_INTERVAL_MS,
     TICK_MS,
 )
 from burdockrun_gateway.directory import Directory
@@ -59,19 +60,31 @@
 
     async def async_run(self) -> None:
         """Check the groups and start changes of their primaries until cancelled."""
+        check_all_ms = 0
         while True:
             await asyncio.sleep(TICK_MS / 1000)
             if not self._promotion_lease.is_held():
+                check_all_ms = 0
                 continue
-            for service, group in list(self._directory.groups.items()):
-                running = self._running.get(service)
-                if running is not None and not running.done():
-                    continue
-                reason = self._find_change_reason(group)
-                if reason is not Reason.NONE:
-                    self._running[service] = asyncio.get_running_loop().create_task(
-                        self._async_change(group, reason)
-                    )
+            now_ms = self._app.clock.now_ms()
+            check_all = now_ms >= check_all_ms
+            if check_all:
+                check_all_ms = now_ms + SUPERVISION_INTERVAL_MS
+            for group in list(self._directory.groups.values()):
+                if check_all or group.evidence_changed:
+                    self._check(group)
+
+    def _check(self, group: Group) -> None:
+        """Start a change of the primary of a group if there is a reason and none is running."""
+        running = self._running.get(group.service)
+        if running is not None and not running.done():
+            return
+        group.evidence_changed = False
+        reason = self._find_change_reason(group)
+        if reason is not Reason.NONE:
+            self._running[group.service] = asyncio.get_running_loop().create_task(
+                self._async_change(group, reason)
+            )
 
     def close(self) -> None:
         """Cancel all changes; another holder resumes them."""
@@ -82,9 +95,9 @@
         record = group.primary_lease.record
         primary = record.primary if record is not None else ""
         suspecting = {
-            suspicion.node
-            for suspicion in self._directory.suspicions.values()
-            if suspicion.service == group.service and suspicion.member == primary
+            node
+            for node, member in self._directory.suspicions.get(group.service, {}).items()
+            if member == primary
         }
         if group.suspected and group.suspected == primary:
             suspecting.add(self._promotion_lease.node)
@@ -112,6 +125,8 @@
         except _StepFailedError as fault:
             self._app.events.write(CHANGE_FAILED, service=group.service, step=str(fault))
             await asyncio.sleep(PROMOTION_RETRY_MS / 1000)
+        finally:
+            group.evidence_changed = True
 
     async def _async_run_steps(self, group: Group, reason: Reason) -> None:
         record = group.primary_lease.record
--- a/libs/groups/burdockrun_groups/promotion.py
+++ b/libs/groups/burdockrun_groups/promotion.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from burdockrun_base import LogPosition
 from burdockrun_statements import MemberStatus
 
 from burdockrun_groups.models import GroupRecord, MemberEntry
@@ -66,18 +67,19 @@
 def choose_successor(
     statuses: Mapping[str, MemberStatus], members: Mapping[str, MemberEntry], avoid: str
 ) -> str:
-    """Return the member with the newest received position, preferring those not draining.
+    """Return the member with the newest received position; among equals, one not draining.
 
     `statuses` has the members that answered; `avoid` is never chosen. Returns an empty string when
-    no other member answered.
+    no other member answered. A draining member that has received more is chosen although it is
+    replaced soon, with its whole log: another one would lose the writes that only it has.
     """
     candidates = [member_id for member_id in statuses if member_id != avoid]
     if not candidates:
         return ""
 
-    def preference(member_id: str) -> tuple[bool, object, str]:
+    def preference(member_id: str) -> tuple[LogPosition, bool, str]:
         entry = members.get(member_id)
         staying = entry is not None and not entry.draining
-        return (staying, statuses[member_id].received, member_id)
+        return (statuses[member_id].received, staying, member_id)
 
     return max(candidates, key=preference)
--- a/tests/site/test_homes.py
+++ b/tests/site/test_homes.py
@@ -201,6 +201,25 @@
         assert deployment.members["a"].executed == []
 
 
+async def test_a_node_that_the_store_turns_away_is_still_served_by_homes() -> None:
+    """Guards against work that is refused since a registration was not renewed in time.
+
+    A node that has announced its end is not served after it has left.
+    """
+    async with async_deploy() as deployment:
+        directory = deployment.gateways[0].directory
+        for node, host, leaving in [("n8", "10.0.0.8", False), ("n9", "10.0.0.9", True)]:
+            fields = {"node": node, "domain": "nbg", "host": host, "port": 1, "leaving": leaving}
+            deployment.store.put(f"burdockrun/nodes/{node}", fields)
+        await deployment.async_wait_until(lambda: {"n8", "n9"} <= set(directory.nodes))
+        deployment.store.remove("burdockrun/nodes/n8")
+        deployment.store.remove("burdockrun/nodes/n9")
+        await deployment.async_wait_until(lambda: not {"n8", "n9"} & set(directory.nodes))
+        assert directory.is_peer("10.0.0.8")
+        assert not directory.is_peer("10.0.0.9")
+        assert not directory.is_peer("10.0.0.10")
+
+
 async def _async_read(reader: asyncio.StreamReader) -> bytes:
     try:
         return await reader.read()
--- /dev/null
+++ b/tests/site/test_supervision.py
@@ -0,0 +1,31 @@
+"""Tests of the work of the holder of the promotion lease."""
+
+import asyncio
+from unittest.mock import patch
+
+from burdockrun_gateway.group import Group
+from burdockrun_gateway.supervisor import Supervisor
+from burdockrun_groups import Reason
+
+from tests.site.common import async_deploy, error_of
+
+
+async def test_groups_at_rest_are_checked_once_a_second() -> None:
+    """Guards against a holder that looks at all groups at each tick, whatever has changed."""
+    async with async_deploy() as deployment:
+        await asyncio.sleep(1.0)
+        checked: list[str] = []
+        find_change_reason = Supervisor._find_change_reason
+
+        def count(supervisor: Supervisor, group: Group) -> Reason:
+            checked.append(group.service)
+            return find_change_reason(supervisor, group)
+
+        with patch.object(Supervisor, "_find_change_reason", count):
+            await asyncio.sleep(2.0)
+            assert 1 <= len(checked) <= 6
+            client = await deployment.async_connect("urgent")
+            await client.async_query("WRITE ward v1")
+            await deployment.members["a"].async_stop()
+            await deployment.async_query_until_done(client, "WRITE ward v2")
+        assert error_of(await client.async_query("WRITE ward v3")) == ""
