Wait for the leases of a former primary also when its address refuses connections

Cause: a refused connection counted as proof that a primary had stopped, and its successor was ordered without waiting for the leases. In a partition that resets connections the primary is alive and the nodes on its side use it until their leases end. Change: the successor is ordered when all registered nodes have acknowledged the change, or after the leases have ended, whatever the address of the former primary answers.

--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -146,9 +146,8 @@
         final_position = await self._async_stop_previous(group, record)
         if final_position is None:
             statuses = await self._async_pause_majority(group, record)
-            if not self._is_refusing(group, record.previous):
-                await self._async_wait_stopped(group, record, self._app.clock.now_ms())
-                statuses = await self._async_statuses(group, record.previous) or statuses
+            await self._async_wait_stopped(group, record, self._app.clock.now_ms())
+            statuses = await self._async_statuses(group, record.previous) or statuses
         else:
             statuses = await self._async_catch_up(group, record.previous, final_position)
         if not statuses and final_position is not None:
@@ -190,7 +189,11 @@
         raise _StepFailedError("no member answers")
 
     async def _async_wait_stopped(self, group: Group, record: GroupRecord, started_ms: int) -> None:
-        """Wait until no node can still use the previous primary."""
+        """Wait until no node can still use the previous primary.
+
+        A refused connection does not prove that it has stopped: a partition may refuse connections
+        too, and the nodes on its side use it until their leases end.
+        """
         until_ms = started_ms + PRIMARY_LEASE_MS + PRIMARY_LEASE_MARGIN_MS
         revision = self._directory.group_revision(group.service)
         while self._app.clock.now_ms() < until_ms:
@@ -373,11 +376,6 @@
         self._directory.notify_all_nodes()
         return record
 
-    def _is_refusing(self, group: Group, member: str) -> bool:
-        """Return whether nothing listens at a member's address."""
-        pool = group.pools.get(member)
-        return pool is not None and pool.is_refused()
-
 
 def _build_vacant_record(record: GroupRecord, held_term: int) -> GroupRecord:
     """Return the record that follows `record` and names no primary."""
--- a/tests/site/members.py
+++ b/tests/site/members.py
@@ -68,6 +68,11 @@
         self._server = await asyncio.start_server(self._async_serve, "127.0.0.1", self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def stop_listening(self) -> None:
+        """Refuse new connections, as for nodes behind a partition; open ones stay."""
+        if self._server is not None:
+            self._server.close()
+
     async def async_stop(self) -> None:
         """Stop and abort all connections, as a crash does."""
         if self._server is not None:
