Show that a write is committed whose transaction was never committed

Cause: BEGIN and the first write of a transaction are sent together; if the member fails BEGIN alone, the write runs as a single statement. Change: review/5 with a script; members of the stand-ins can fail part of their requests.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+set -euo pipefail
+cd "$(dirname "$0")"
+exec python3 -B case.py
--- a/review/standins/members.py
+++ b/review/standins/members.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -59,6 +60,8 @@
         self.draining = False
         # A deaf replica receives nothing; a commit waits for `sync_replicas` replicas.
         self.deaf = False
+        # A grey member fails this share of the requests of clients, with good health.
+        self.grey = 0.0
         self.sync_replicas = 0
         self.work_s, self.lag_s = work_s, lag_s
         self.port = 0
@@ -201,6 +204,9 @@
         word, *fields = text.split(" ")
         if session.state == FAILED and word not in {"ROLLBACK", "COMMIT"}:
             return ["ERROR MALFORMED -"]
+        if word in {"BEGIN", "READ", "WRITE", "EXECUTE"} and random.random() < self.grey:
+            self._record("failed", member=self.id, request=request_id, text=text)
+            return self._fail(session, "FAILED")
         if word in {"STATUS", "PAUSE", "RESUME", "STEPDOWN"}:
             return self._control(word, int(fields[0]) if fields else 0)
         if word == "RESET":
