--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,78 +1,109 @@
-"""SIGTERM cuts requests of a session that is in use, after they were passed on to a member."""
+"""A primary is lost; a replica that is busy is passed over, with the commits that only it has."""
 
 import asyncio
-import json
 import sys
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from standins.deployment import BROKEN, HELD, Client, ClosedError, Deployment, has_trouble, run
+from standins.members import Member
 
-SESSIONS = 6
-THINK_S = 0.005  # between an answer and the next statement
-BEFORE_S = 3.0
-GRACE_S = 6.0
-# A request that was sent this long after SIGTERM is not excused by the member's work.
-EXCUSED_S = 3.0
+READERS = 24
+WRITERS = 3
+DEAF_S = 5.0  # for so long one replica receives nothing
+CRASH_S = 2.0  # after the start of that, the primary crashes
+DOWN_S = 7.0  # for so long the primary is down
 
 
-async def use_session(deployment: Deployment, number: int, stopped: asyncio.Event) -> None:
-    """Send one statement after the other; connect elsewhere when the session is closed."""
-    gateways = deployment.gateways
+async def write(deployment: Deployment, number: int, stopped: asyncio.Event) -> None:
+    """Write ever higher numbers to an item."""
+    gateway = deployment.gateways[number]
     client: Client | None = None
     count = 0
     while not stopped.is_set():
-        if client is None:
-            first = gateways[0] if gateways[0].process.poll() is None else gateways[1]
-            client = Client(deployment.record, first.host, first.port, "u3f1-session")
-            try:
-                await client.connect()
-            except (ClosedError, OSError):
-                client = None
-                await asyncio.sleep(0.05)
-                continue
         count += 1
-        text = f"WRITE {number}a4 v{count}" if count % 8 == 0 else f"READ {number}a4"
         try:
-            await client.query(text)
-        except ClosedError:
+            if client is None:
+                client = Client(deployment.record, gateway.host, gateway.port, "u3f1-primary")
+                await client.connect()
+            await client.query(f"WRITE w{number} {count}")
+        except (ClosedError, OSError):
             client = None
-        await asyncio.sleep(THINK_S)
+        await asyncio.sleep(0.05)
+
+
+async def read(deployment: Deployment, number: int, stopped: asyncio.Event) -> None:
+    """Read one item after the other."""
+    gateway = deployment.gateways[number % len(deployment.gateways)]
+    client: Client | None = None
+    while not stopped.is_set():
+        try:
+            if client is None:
+                client = Client(deployment.record, gateway.host, gateway.port, "u3f1-bounded")
+                await client.connect()
+            await client.query("READ w0")
+        except (ClosedError, OSError):
+            client = None
+        await asyncio.sleep(0.002)
+
+
+def find_lost(lines: list[dict[str, Any]]) -> list[tuple[str, str]]:
+    """Return acknowledged writes that the log of the promoted member lacked when it was promoted."""
+    sent = {one["request"]: one["text"] for one in lines if one["event"] == "sent"}
+    leads_s = next((one["s"] for one in lines if one["event"] == "leads"), None)
+    if leads_s is None:
+        return []
+    led = next(one["log"] for one in lines if one["event"] == "leads")
+    return [
+        (one["request"], sent[one["request"]])
+        for one in lines
+        if one["event"] == "answered"
+        and one["s"] < leads_s
+        and sent[one["request"]].startswith("WRITE")
+        and one["answer"][0].startswith("COMPLETE")
+        and sent[one["request"]].removeprefix("WRITE ") not in led
+    ]
+
+
+async def start_again(deployment: Deployment, member: Member) -> None:
+    """Let a crashed primary come back, as a replica if another member was promoted."""
+    leader = max(deployment.members.values(), key=lambda one: (one.term, one.primary))
+    if leader is not member:
+        member.follow(leader)
+    await member.start()
+    deployment.record("member_started", member=member.id, primary=member.primary)
 
 
 async def play(deployment: Deployment) -> int:
-    """Stop one gateway while its sessions are in use, and look for requests without an answer."""
-    await deployment.start(work_s=0.015)
+    """Let a replica receive nothing for a while; the primary crashes meanwhile."""
+    deployment.sync_replicas = 1
+    await deployment.start()
+    for member in deployment.members.values():
+        member.refuses_status = True
     stopped = asyncio.Event()
-    sessions = [
-        asyncio.get_running_loop().create_task(use_session(deployment, number, stopped))
-        for number in range(SESSIONS)
-    ]
-    await asyncio.sleep(BEFORE_S)
-    term_s = deployment.record.now()
+    loop = asyncio.get_running_loop()
+    tasks = [loop.create_task(write(deployment, one, stopped)) for one in range(WRITERS)]
+    tasks += [loop.create_task(read(deployment, one, stopped)) for one in range(READERS)]
+    await asyncio.sleep(4.0)
+    primary, _, deaf = deployment.members.values()
     if has_trouble():
-        deployment.gateways[0].terminate()
-    await asyncio.sleep(GRACE_S + 1.0)
+        deaf.deaf = True
+        deployment.record("deaf", member=deaf.id, position=deaf.position())
+        await asyncio.sleep(CRASH_S)
+        primary.crash()
+        deployment.record("member_crashed", member=primary.id, position=primary.position())
+        await asyncio.sleep(DEAF_S - CRASH_S)
+        deaf.deaf = False
+        await asyncio.sleep(DOWN_S - (DEAF_S - CRASH_S))
+        await start_again(deployment, primary)
+    await asyncio.sleep(3.0)
     stopped.set()
-    await asyncio.wait(sessions, timeout=5.0)
-    deployment.record.flush()
-    lines = [json.loads(line) for line in (Path(__file__).parent / "record.txt").open()]
-    sent = {one["request"]: one for one in lines if one["event"] == "sent"}
-    arrived = {one["request"] for one in lines if one["event"] == "arrived"}
-    cut = []
-    for one in lines:
-        if one["event"] != "connection_ended" or one["request"] not in arrived:
-            continue
-        request = sent[one["request"]]
-        if request["node"] != deployment.gateways[0].host or any("READY" in x for x in one["answer"]):
-            continue
-        after_s = request["s"] - term_s
-        if EXCUSED_S < after_s and one["s"] - term_s <= GRACE_S + 1.0:
-            cut.append((one["request"], round(after_s, 3), round(one["s"] - term_s, 3)))
-    answered = sum(one["event"] == "answered" for one in lines)
-    print(f"{answered} requests answered; passed on to a member and cut (id, sent, cut): {cut}")
-    return BROKEN if cut else HELD
+    await asyncio.wait(tasks, timeout=5.0)
+    lost = find_lost(deployment.record.events)
+    print(f"acknowledged writes that the promoted member lacks: {len(lost)}; {lost[:4]}")
+    return BROKEN if lost else HELD
 
 
 if __name__ == "__main__":
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,6 @@
-"""A member fails a BEGIN; the write that was sent behind it is committed without its transaction."""
+"""SIGTERM cuts requests of a session that is in use, after they were passed on to a member."""
 
 import asyncio
-import json
 import sys
 from pathlib import Path
 
@@ -9,78 +8,69 @@
 
 from standins.deployment import BROKEN, HELD, Client, ClosedError, Deployment, has_trouble, run
 
-CLIENTS = 6
-GREY_SHARE = 0.4
-GREY_S = 5.0
-PAUSE_S = 0.02
+SESSIONS = 6
+THINK_S = 0.005  # between an answer and the next statement
+BEFORE_S = 3.0
+GRACE_S = 6.0
+# A request that was sent this long after SIGTERM is not excused by the member's work.
+EXCUSED_S = 3.0
 
 
-async def use_transactions(deployment: Deployment, number: int, stopped: asyncio.Event) -> None:
-    """Run transactions that write and commit; roll back after an error."""
-    gateway = deployment.gateways[number % len(deployment.gateways)]
+async def use_session(deployment: Deployment, number: int, stopped: asyncio.Event) -> None:
+    """Send one statement after the other; connect elsewhere when the session is closed."""
+    gateways = deployment.gateways
     client: Client | None = None
     count = 0
     while not stopped.is_set():
+        if client is None:
+            first = gateways[0] if gateways[0].process.poll() is None else gateways[1]
+            client = Client(deployment.record, first.host, first.port, "u3f1-session")
+            try:
+                await client.connect()
+            except (ClosedError, OSError):
+                client = None
+                await asyncio.sleep(0.05)
+                continue
         count += 1
+        text = f"WRITE {number}a4 v{count}" if count % 8 == 0 else f"READ {number}a4"
         try:
-            if client is None:
-                client = Client(deployment.record, gateway.host, gateway.port, "u3f1-primary")
-                await client.connect()
-            for text in ("BEGIN", f"WRITE c{number} {count}", f"READ c{number}", "COMMIT"):
-                await asyncio.sleep(PAUSE_S)
-                _, lines = await client.query(text)
-                if any(line.startswith("ERROR") for line in lines):
-                    if client.state != "I":
-                        await client.query("ROLLBACK")
-                    break
-        except (ClosedError, OSError):
+            await client.query(text)
+        except ClosedError:
             client = None
-
-
-def find_unasked(case: Path) -> list[tuple[str, float, str]]:
-    """Return committed writes of transactions whose clients never sent COMMIT."""
-    lines = [json.loads(line) for line in (case / "record.txt").open()]
-    asked: set[str] = set()
-    written: dict[str, list[str]] = {}
-    for one in lines:
-        if one["event"] != "sent":
-            continue
-        session, text = one["request"][:6], one["text"]
-        if text == "BEGIN":
-            written[session] = []
-        elif text.startswith("WRITE "):
-            written[session].append(text.removeprefix("WRITE "))
-        elif text == "COMMIT":
-            asked.update(written[session])
-    return [
-        (one["member"], one["s"], f"{name} {data}")
-        for one in lines
-        if one["event"] == "committed"
-        for name, data in one["items"].items()
-        if f"{name} {data}" not in asked
-    ]
+        await asyncio.sleep(THINK_S)
 
 
 async def play(deployment: Deployment) -> int:
-    """Let the primary fail part of its requests for a while."""
-    await deployment.start()
+    """Stop one gateway while its sessions are in use, and look for requests without an answer."""
+    await deployment.start(work_s=0.015)
     stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    tasks = [loop.create_task(use_transactions(deployment, one, stopped)) for one in range(CLIENTS)]
-    await asyncio.sleep(4.0)
-    primary = next(iter(deployment.members.values()))
+    sessions = [
+        asyncio.get_running_loop().create_task(use_session(deployment, number, stopped))
+        for number in range(SESSIONS)
+    ]
+    await asyncio.sleep(BEFORE_S)
+    term_s = deployment.record.now()
     if has_trouble():
-        primary.grey = GREY_SHARE
-        deployment.record("grey", member=primary.id, share=GREY_SHARE)
-        await asyncio.sleep(GREY_S)
-        primary.grey = 0.0
-    await asyncio.sleep(4.0)
+        deployment.gateways[0].terminate()
+    await asyncio.sleep(GRACE_S + 1.0)
     stopped.set()
-    await asyncio.wait(tasks, timeout=5.0)
-    deployment.record.flush()
-    unasked = find_unasked(Path(__file__).parent)
-    print(f"committed writes whose COMMIT no client sent: {len(unasked)}; the first: {unasked[:4]}")
-    return BROKEN if unasked else HELD
+    await asyncio.wait(sessions, timeout=5.0)
+    lines = deployment.record.events
+    sent = {one["request"]: one for one in lines if one["event"] == "sent"}
+    arrived = {one["request"] for one in lines if one["event"] == "arrived"}
+    cut = []
+    for one in lines:
+        if one["event"] != "connection_ended" or one["request"] not in arrived:
+            continue
+        request = sent[one["request"]]
+        if request["node"] != deployment.gateways[0].host or any("READY" in x for x in one["answer"]):
+            continue
+        after_s = request["s"] - term_s
+        if EXCUSED_S < after_s and one["s"] - term_s <= GRACE_S + 1.0:
+            cut.append((one["request"], round(after_s, 3), round(one["s"] - term_s, 3)))
+    answered = sum(one["event"] == "answered" for one in lines)
+    print(f"{answered} requests answered; passed on to a member and cut (id, sent, cut): {cut}")
+    return BROKEN if cut else HELD
 
 
 if __name__ == "__main__":
