Show that a gateway misses the last of several configurations

Cause: a batch of changes is kept by key in the place of the key's first change, so a copy source no longer has its changes in the order of their revisions, and leaves out a key for followers whose copy is in between. The stand-ins get several services and gateways that know each other.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,110 +1,98 @@
-"""A primary is lost; a replica that is busy is passed over, with the commits that only it has."""
+"""A restarted gateway misses the last of several configurations, and writes to the old service."""
 
 import asyncio
+import random
 import sys
 from pathlib import Path
-from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from standins.deployment import BROKEN, HELD, Client, ClosedError, Deployment, has_trouble, run
-from standins.members import Member
-
-READERS = 24
-WRITERS = 3
-DEAF_S = 5.0  # for so long one replica receives nothing
-CRASH_S = 2.0  # after the start of that, the primary crashes
-DOWN_S = 7.0  # for so long the primary is down
-
-
-async def write(deployment: Deployment, number: int, stopped: asyncio.Event) -> None:
-    """Write ever higher numbers to an item."""
-    gateway = deployment.gateways[number]
-    client: Client | None = None
-    count = 0
-    while not stopped.is_set():
-        count += 1
+from standins.deployment import BOUNDS, BROKEN, HELD, Client, ClosedError, Deployment, has_trouble, run
+
+SERVICES = ("lepu27", "huvo11", "kafi81")
+DATABASE = "moving"
+ROUNDS = 18
+VERSIONS = 5
+GAP_S = 0.33
+KILLED = 2  # of five gateways, one after the other
+START_S = 0.66  # from the kill until a gateway reads the store again, about
+CONFIRMATIONS_S = (0.5, 3.0)  # when each gateway is asked, after ConfigApplyMs
+
+
+async def change(deployment: Deployment, round_number: int) -> str:
+    """Send configurations in quick succession; the last one moves a database to another service.
+
+    Returns that service.
+    """
+    for number in range(VERSIONS):
+        if number == VERSIONS - 1:
+            service = SERVICES[(round_number + 1) % 2]
+            deployment.services_by_database[DATABASE] = service
+        deployment.databases[f"r{round_number}-{number}"] = "session"
+        version = 2 + round_number * VERSIONS + number
+        deployment.configure(version)
+        deployment.record("configuration", version=version, moves_to=service if number == VERSIONS - 1 else "")
+        await asyncio.sleep(GAP_S)
+    return service
+
+
+async def find_misplaced(deployment: Deployment, service: str) -> list[str]:
+    """Write through each gateway; return those whose write was run by another service."""
+    misplaced = []
+    for gateway in deployment.gateways:
+        client = Client(deployment.record, gateway.host, gateway.port, DATABASE)
         try:
-            if client is None:
-                client = Client(deployment.record, gateway.host, gateway.port, "u3f1-primary")
+            async with asyncio.timeout(2.0):
                 await client.connect()
-            await client.query(f"WRITE w{number} {count}")
-        except (ClosedError, OSError):
-            client = None
-        await asyncio.sleep(0.05)
-
-
-async def read(deployment: Deployment, number: int, stopped: asyncio.Event) -> None:
-    """Read one item after the other."""
-    gateway = deployment.gateways[number % len(deployment.gateways)]
-    client: Client | None = None
-    while not stopped.is_set():
-        try:
-            if client is None:
-                client = Client(deployment.record, gateway.host, gateway.port, "u3f1-bounded")
-                await client.connect()
-            await client.query("READ w0")
-        except (ClosedError, OSError):
-            client = None
-        await asyncio.sleep(0.002)
-
-
-def find_lost(lines: list[dict[str, Any]]) -> list[tuple[str, str]]:
-    """Return acknowledged writes that the log of the promoted member lacked when it was promoted."""
-    sent = {one["request"]: one["text"] for one in lines if one["event"] == "sent"}
-    leads_s = next((one["s"] for one in lines if one["event"] == "leads"), None)
-    if leads_s is None:
-        return []
-    led = next(one["log"] for one in lines if one["event"] == "leads")
-    return [
-        (one["request"], sent[one["request"]])
-        for one in lines
-        if one["event"] == "answered"
-        and one["s"] < leads_s
-        and sent[one["request"]].startswith("WRITE")
-        and one["answer"][0].startswith("COMPLETE")
-        and sent[one["request"]].removeprefix("WRITE ") not in led
-    ]
-
-
-async def start_again(deployment: Deployment, member: Member) -> None:
-    """Let a crashed primary come back, as a replica if another member was promoted."""
-    leader = max(deployment.members.values(), key=lambda one: (one.term, one.primary))
-    if leader is not member:
-        member.follow(leader)
-    await member.start()
-    deployment.record("member_started", member=member.id, primary=member.primary)
+                _, lines = await client.query(f"WRITE 1a4 {random.randrange(10**9)}")
+            client.close()
+        except (ClosedError, OSError, TimeoutError):
+            continue
+        if not lines[0].startswith("COMPLETE"):
+            continue
+        member = deployment.members[lines[0].removeprefix("COMPLETE ").split(".")[0]]
+        if member.service != service:
+            misplaced.append(gateway.name)
+            deployment.record(
+                "run_by_old_service", node=gateway.name, member=member.id, ran=member.service,
+                in_force=service,
+            )  # fmt: skip
+    return misplaced
 
 
 async def play(deployment: Deployment) -> int:
-    """Let a replica receive nothing for a while; the primary crashes meanwhile."""
-    deployment.sync_replicas = 1
+    """Change the configuration while gateways are killed and start again."""
+    deployment.zones = ("muc-nord",) * 5
+    deployment.has_peers = True
+    deployment.services = SERVICES
+    deployment.databases[DATABASE] = "primary"
+    deployment.services_by_database[DATABASE] = SERVICES[0]
     await deployment.start()
-    for member in deployment.members.values():
-        member.refuses_status = True
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    tasks = [loop.create_task(write(deployment, one, stopped)) for one in range(WRITERS)]
-    tasks += [loop.create_task(read(deployment, one, stopped)) for one in range(READERS)]
-    await asyncio.sleep(4.0)
-    primary, _, deaf = deployment.members.values()
-    if has_trouble():
-        deaf.deaf = True
-        deployment.record("deaf", member=deaf.id, position=deaf.position())
-        await asyncio.sleep(CRASH_S)
-        primary.crash()
-        deployment.record("member_crashed", member=primary.id, position=primary.position())
-        await asyncio.sleep(DEAF_S - CRASH_S)
-        deaf.deaf = False
-        await asyncio.sleep(DOWN_S - (DEAF_S - CRASH_S))
-        await start_again(deployment, primary)
-    await asyncio.sleep(3.0)
-    stopped.set()
-    await asyncio.wait(tasks, timeout=5.0)
-    lost = find_lost(deployment.record.events)
-    print(f"acknowledged writes that the promoted member lacks: {len(lost)}; {lost[:4]}")
-    return BROKEN if lost else HELD
+    found: list[tuple[int, list[str]]] = []
+    for round_number in range(ROUNDS):
+        changing = asyncio.get_running_loop().create_task(change(deployment, round_number))
+        if has_trouble():
+            # They read the store again shortly before the last version comes.
+            last_s = GAP_S * (VERSIONS - 1) - START_S
+            waited_s = 0.0
+            for gateway, early_s in zip(
+                random.sample(deployment.gateways, KILLED), (0.45, 0.2), strict=True
+            ):
+                kill_s = last_s - early_s - random.uniform(0.0, 0.2)
+                await asyncio.sleep(max(0.0, kill_s - waited_s))
+                waited_s = kill_s
+                gateway.kill()
+        service = await changing
+        await asyncio.sleep(BOUNDS["ConfigApplyMs"] / 1000 + CONFIRMATIONS_S[0])
+        if not await find_misplaced(deployment, service):
+            continue
+        await asyncio.sleep(CONFIRMATIONS_S[1])
+        if misplaced := await find_misplaced(deployment, service):
+            found.append((round_number, misplaced))
+            break
+    print(f"writes run by the old service, 6 s after the change was acknowledged: {found}")
+    return BROKEN if found else HELD
 
 
 if __name__ == "__main__":
-    sys.exit(run(Path(__file__).parent, play, min_answers=500))
+    sys.exit(run(Path(__file__).parent, play, min_answers=30))
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -65,11 +65,15 @@
 
     def __init__(self, deployment: "Deployment", index: int, addresses: tuple[str, str]) -> None:
         """`addresses` are those of the store and of the promotion calls for this gateway."""
-        self.name = f"front-{ZONES[index]}-1"
-        self.zone = ZONES[index]
+        self.zone = deployment.zones[index]
+        self.name = f"front-{self.zone}-{index + 1}"
         self.host = f"127.{random.randint(2, 250)}.{random.randint(2, 250)}.{index + 2}"
+        # Nodes know each other by address, and connect from 127.0.0.1 here.
+        self.ready_host = self.host
+        self.host = "127.0.0.1" if deployment.has_peers else self.host
+        self.peer_port = deployment.peer_port + 16 * index
         self.port = find_port(self.host)
-        self.ready_port = find_port(self.host)
+        self.ready_port = find_port(self.ready_host)
         self.ends: list[tuple[float, int]] = []
         self.process: subprocess.Popen[bytes] | None = None
         self._deployment = deployment
@@ -108,6 +112,12 @@
             )
             await asyncio.sleep(RESTART_S)
 
+    def kill(self) -> None:
+        """Kill the process; it is restarted."""
+        assert self.process is not None
+        self._deployment.record("kill", node=self.name)
+        self.process.kill()
+
     def terminate(self) -> None:
         """Send SIGTERM, as the platform does; no restart follows."""
         assert self.process is not None
@@ -127,13 +137,13 @@
         lines = [
             f'Node = "{self.name}"', 'Role = "gateway"', 'Class = "front"', 'Serves = ["front"]',
             f'Ip = "{self.host}"', f'Zone = "{self.zone}"', 'Region = "bayern"',
-            f"PeerPorts = [{self._deployment.peer_port},{self._deployment.peer_port + 15}]",
+            f"PeerPorts = [{self.peer_port},{self.peer_port + 15}]",
             "Seeds = []", "Bootstrap = true", "CountsAsLoss = false", 'Discovery = "platform"',
             'Entry = "vip"', "HeartbeatMs = 1200",
             'Contracts = ["base","drain","config","cost","recover","sql","platform"]',
             "[Zones]", *(f'{zone} = "bayern"' for zone in ZONES),
             "[Listen]", f'Front = "{self.host}:{self.port}"',
-            f'Ready = "{self.host}:{self.ready_port}"',
+            f'Ready = "{self.ready_host}:{self.ready_port}"',
             "[Limits]", "CpuShare = 0.537", "Cores = 2", "MemoryMb = 300", "MaxFds = 4300",
             "LinkMbps = 1000.0", "DiskMb = 0",
             "[FaultTolerance]", "Machines = 2", "Zones = 1", "Regions = 0",
@@ -158,23 +168,33 @@
         self.members: dict[str, Member] = {}
         self.gateways: list[GatewayProcess] = []
         self.promote_s = 1.0
+        # Zone of each gateway.
+        self.zones: tuple[str, ...] = ZONES
+        self.services: tuple[str, ...] = (SERVICE,)
+        self.databases = dict(DATABASES)
+        # Services of databases that are not those of `SERVICE`.
+        self.services_by_database: dict[str, str] = {}
+        # Whether gateways connect to each other, for copies of the store.
+        self.has_peers = False
         self.sync_replicas = 0
 
-    async def start(self, gateways: int = 3, **member_options: object) -> None:
+    async def start(self, **member_options: object) -> None:
         """Start all parts and wait until the gateways are ready."""
         await self.platform.start()
         self.configure(1)
-        for index, zone in enumerate(ZONES):
-            member = Member(
-                self.platform, self.record, service=SERVICE, member_id=f"i-{index}a7f3c{index}",
-                zone=zone, primary=index == 0, **member_options,  # type: ignore[arg-type]
-            )  # fmt: skip
-            self.members[member.id] = member
+        for number, service in enumerate(self.services):
+            for index, zone in enumerate(ZONES):
+                member = Member(
+                    self.platform, self.record, service=service, zone=zone, primary=index == 0,
+                    member_id=f"i-{index}a7f3c{index}{number or ''}",
+                    **member_options,  # type: ignore[arg-type]
+                )  # fmt: skip
+                self.members[member.id] = member
         self._connect_peers()
         for member in self.members.values():
             member.sync_replicas = self.sync_replicas
             await member.start()
-        for index in range(gateways):
+        for index in range(len(self.zones)):
             gateway = GatewayProcess(self, index, self.find_addresses(index))
             self.gateways.append(gateway)
             gateway.start()
@@ -205,7 +225,11 @@
 
     def _connect_peers(self) -> None:
         for member in self.members.values():
-            member.peers = [one for one in self.members.values() if one is not member]
+            member.peers = [
+                one
+                for one in self.members.values()
+                if one is not member and one.service == member.service
+            ]
 
     def find_addresses(self, index: int) -> tuple[str, str]:
         """Return the addresses of the store and of the promotion calls for a gateway."""
@@ -215,12 +239,16 @@
         """Write the configuration."""
         routes = [
             {
-                "Name": name, "Host": name, "Service": SERVICE, "Type": kind,
+                "Name": name, "Host": name, "Type": kind,
+                "Service": self.services_by_database.get(name, SERVICE),
                 "MaxStalenessMs": 1500, "TimeoutMs": 800, "TargetLatencyMs": 250, "Priority": 0,
             }
-            for name, kind in DATABASES.items()
+            for name, kind in self.databases.items()
         ]  # fmt: skip
-        services = [{"Name": SERVICE, "MaxConns": 16, "SyncReplicas": self.sync_replicas}]
+        services = [
+            {"Name": name, "MaxConns": 16, "SyncReplicas": self.sync_replicas}
+            for name in self.services
+        ]
         limits = {"IdleTxMs": 3000}
         fields = {"Version": version, "Routes": routes, "Services": services, "Limits": limits}
         self.platform.put("op/config", fields)
@@ -229,7 +257,7 @@
         """Wait until all gateways answer their readiness probes with 200 and have a primary."""
         until = time.monotonic() + limit_s
         for gateway in self.gateways:
-            while not await is_ready(gateway.host, gateway.ready_port):
+            while not await is_ready(gateway.ready_host, gateway.ready_port):
                 if time.monotonic() > until:
                     raise TimeoutError(f"{gateway.name} is not ready")
                 await asyncio.sleep(0.1)
@@ -241,9 +269,9 @@
 
     def _promote(self, service: str, member_id: str) -> bool:
         member = self.members.get(member_id)
-        if member is None or not member.running or service != SERVICE:
+        if member is None or not member.running or service != member.service:
             return False
-        newest = max(one.term for one in self.members.values())
+        newest = max(one.term for one in [member, *member.peers])
         if not (member.primary and member.term == newest):
             asyncio.get_running_loop().call_later(self.promote_s, member.lead)
         return True
@@ -281,8 +309,9 @@
         """Open the session."""
         self._reader, self._writer = await asyncio.open_connection(self._host, self._port)
         self._writer.write(f"CONNECT {self._database} review\r\n".encode())
-        if not (await self._read_line()).startswith("READY"):
-            raise ClosedError
+        line = await self._read_line()
+        if not line.startswith("READY"):
+            raise ClosedError(line)
 
     async def query(self, text: str) -> tuple[str, list[str]]:
         """Return the id of a query and the messages of its answer; raises ClosedError."""
--- a/review/standins/members.py
+++ b/review/standins/members.py
@@ -125,6 +125,8 @@
         self._platform.put(f"servers/{self.id}", entry)
 
     async def _run_beats(self) -> None:
+        self.register()
+        await asyncio.sleep(random.uniform(0.0, BEAT_S))
         while True:
             self.register()
             await asyncio.sleep(BEAT_S)
