--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,7 +11,7 @@
 
 SERVICES = ("lepu27", "huvo11", "kafi81")
 DATABASE = "moving"
-ROUNDS = 18
+ROUNDS = 14
 VERSIONS = 5
 GAP_S = 0.33
 KILLED = 2  # of five gateways, one after the other
