End the gateways of a case also when it is ended itself

Cause: a case that got SIGTERM or SIGKILL left its gateways running. Change: the case cleans up on SIGTERM and SIGHUP, and the kernel ends its gateways if it is killed.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -1,6 +1,7 @@
 """A small deployment on loopback: stand-ins in this process, gateways as processes of their own."""
 
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -31,6 +32,7 @@
 }  # fmt: skip
 RESTART_S = 0.3
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+PR_SET_PDEATHSIG = 1  # of prctl(2)
 
 
 def has_trouble() -> bool:
@@ -101,8 +103,9 @@
             }
             with self._log.open("ab") as log:
                 self.process = subprocess.Popen(
-                    command, cwd=ROOT, env=environment, stdout=log, stderr=log
-                )
+                    command, cwd=ROOT, env=environment, stdout=log, stderr=log,
+                    preexec_fn=end_with_parent,
+                )  # fmt: skip
             self._deployment.record("process_started", node=self.name)
             while self.process.poll() is None:
                 await asyncio.sleep(0.01)
@@ -340,6 +343,11 @@
         self._writer.close()
 
 
+def end_with_parent() -> None:
+    """Let the kernel end this process when the case that started it ends, however it ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def find_port(host: str) -> int:
     """Return a free port of a loopback address."""
     with socket.socket() as one:
@@ -366,6 +374,10 @@
     """
 
     async def play_and_stop() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         deployment = Deployment(case)
         try:
             async with asyncio.timeout(110):
@@ -375,7 +387,7 @@
                 print(f"the case could not run: only {answers} answers", file=sys.stderr)
                 return NOT_RUN
             return status
-        except Exception:  # noqa: BLE001
+        except (Exception, asyncio.CancelledError):  # noqa: BLE001
             traceback.print_exc()
             return NOT_RUN
         finally:
