--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -50,6 +50,8 @@
         self._started = time.monotonic()
 
     def __call__(self, event: str, **fields: object) -> None:
+        if self._file.closed:
+            return
         self.events.append({"s": round(self.now(), 4), "event": event, **fields})
         self._file.write(json.dumps(self.events[-1]) + "\n")
 
