Let the statement after a BEGIN keep its turn at a home

What callers saw: nothing yet; found while reading what waits behind BEGIN. At a home, BEGIN ended the turn that the queue had given to a transaction, so another statement started, and the one behind the BEGIN came on top of the limit of the member. Cause: each write of statements counted as work of its own, though they are parts of one operation that was queued once. Change: a link is told that other statements follow if these succeed; the work then goes on with them. Evidence: test_a_statement_takes_the_turn_of_the_begin_before_it fails before (more than 3 run at a limit of 3). With test_a_connection_whose_begin_is_not_followed_serves_the_next_statement a caller that leaves in between gives the turn back.

--- a/libs/gateway/burdockrun_gateway/exchange.py
+++ b/libs/gateway/burdockrun_gateway/exchange.py
@@ -94,7 +94,9 @@
         while part := sequence.take_sendable():
             attempt.may_have_run = sequence.may_have_run
             try:
-                answers = await self._async_send(attempt, pool, link, part, is_first=is_first)
+                answers = await self._async_send(
+                    attempt, pool, link, part, is_first=is_first, is_followed=sequence.has_more
+                )
             except AnswerLostError:
                 raise AnswerLostError(may_have_run=sequence.may_have_run) from None
             if isinstance(answers, Answer):
@@ -141,10 +143,12 @@
         statements: list[Statement],
         *,
         is_first: bool,
+        is_followed: bool,
     ) -> list[Answer] | Answer:
         """Send statements in one write; return their answers, or one of this node on a time-out.
 
-        `is_first` says that they begin an operation, which a home may queue.
+        `is_first` says that they begin an operation, which a home may queue; `is_followed`, that
+        others are sent next if they succeed.
         """
         now_ms = self._app.clock.now_ms()
         left_ms = attempt.route.timeout_ms - (now_ms - attempt.arrived_ms)
@@ -157,7 +161,7 @@
         wait_ms = pool.note_sent(link, rank_share) if is_first else 0.0
         try:
             async with asyncio.timeout(max(timeout_ms, 1) / 1000):
-                answers = await asyncio.shield(link.send(statements))
+                answers = await asyncio.shield(link.send(statements, is_followed=is_followed))
         except LinkLostError:
             self._discard(pool, link)
             raise AnswerLostError from None
--- a/libs/gateway/burdockrun_gateway/links.py
+++ b/libs/gateway/burdockrun_gateway/links.py
@@ -47,15 +47,27 @@
 class _Batch:
     """Statements sent in one write, with the answers received so far."""
 
-    __slots__ = ("answers", "future", "left", "repeated", "sent_ms", "statements", "work_id")
+    __slots__ = (
+        "answers",
+        "future",
+        "is_followed",
+        "left",
+        "repeated",
+        "sent_ms",
+        "statements",
+        "work_id",
+    )
 
     def __init__(
         self,
         statements: Sequence[Statement],
         future: "asyncio.Future[list[Answer]]",
         sent_ms: int,
+        *,
+        is_followed: bool,
     ) -> None:
         self.statements = statements
+        self.is_followed = is_followed
         self.left = len(statements)
         self.answers: list[Answer] = []
         # Positions of the statements that were sent again, in the order of the answers to come.
@@ -64,6 +76,10 @@
         self.sent_ms = sent_ms
         self.work_id = 0
 
+    def is_continued(self) -> bool:
+        """Return whether the statements have succeeded and others follow as the same work."""
+        return self.is_followed and all(answer.error is None for answer in self.answers)
+
     def add(self, answer: Answer) -> None:
         """Add the answer to the next statement without one."""
         if self.repeated:
@@ -153,13 +169,18 @@
             for statement in batch.statements
         )
 
-    def send(self, statements: Sequence[Statement]) -> "asyncio.Future[list[Answer]]":
-        """Send statements in one write; the future has all answers or raises LinkLostError."""
+    def send(
+        self, statements: Sequence[Statement], *, is_followed: bool = False
+    ) -> "asyncio.Future[list[Answer]]":
+        """Send statements in one write; the future has all answers or raises LinkLostError.
+
+        With `is_followed`, others are sent next if these succeed; at a home they take one turn.
+        """
         future: asyncio.Future[list[Answer]] = asyncio.get_running_loop().create_future()
         if self.lost or self.connection is None:
             future.set_exception(LinkLostError())
             return future
-        batch = _Batch(statements, future, self._clock.now_ms())
+        batch = _Batch(statements, future, self._clock.now_ms(), is_followed=is_followed)
         if self.monitor is not None:
             batch.work_id = self.monitor.note_sent(self, statements)
         self._batches.append(batch)
@@ -182,7 +203,9 @@
         if batch.left:
             return
         self._batches.popleft()
-        if self.monitor is not None:
+        if self.monitor is not None and batch.is_continued():
+            self.work_id = batch.work_id
+        elif self.monitor is not None:
             self._held = batch
             if self.monitor.note_answered(self, batch.work_id, batch.statements, batch.answers):
                 return
--- a/libs/gateway/burdockrun_gateway/sharing.py
+++ b/libs/gateway/burdockrun_gateway/sharing.py
@@ -145,7 +145,7 @@
 
     async def _async_send(self, link: MemberLink, sequence: StatementSequence) -> None:
         while part := sequence.take_sendable():
-            sequence.add_answers(await link.send(part))
+            sequence.add_answers(await link.send(part, is_followed=sequence.has_more))
             if self._closed:
                 # `close` has already released or discarded the connection.
                 return
--- a/libs/statements/burdockrun_statements/sequence.py
+++ b/libs/statements/burdockrun_statements/sequence.py
@@ -77,6 +77,11 @@
         is_refused = is_answered and self._answers[-1].error in NOT_RUN_CODES
         return self._has_sent_all and not is_refused
 
+    @property
+    def has_more(self) -> bool:
+        """Return whether statements are left that wait for success of those before them."""
+        return bool(self._parts)
+
     def take_sendable(self) -> list[Statement]:
         """Return the statements that may be sent now, an empty list if there are none."""
         if not self._parts or self._find_refused() is not None:
--- a/tests/gateway/test_home_queue.py
+++ b/tests/gateway/test_home_queue.py
@@ -168,6 +168,36 @@
     home.pool.abort()
 
 
+async def test_a_statement_takes_the_turn_of_the_begin_before_it() -> None:
+    """Guards against more statements at the member than its limit, one for each open BEGIN."""
+    home = Home()
+    links = [await home.async_acquire() for _ in range(3)]
+    for link in links:
+        link.send([BEGIN], is_followed=True)
+    waiting = home.start_waiting()
+    for link, connection in zip(links, home.opened[:3], strict=True):
+        connection.answer(OPEN)
+        await async_settle()
+        link.send([READ])
+    load = home.describe()
+    assert (load.running, load.waiting) == (3, 1)
+    home.opened[0].answer(DONE)
+    home.pool.release(links[0])
+    assert (await waiting).unwrap() is links[0]
+    home.pool.abort()
+
+
+async def test_a_connection_whose_begin_is_not_followed_serves_the_next_statement() -> None:
+    """Guards against a turn that nobody uses, since the caller has left after the BEGIN."""
+    home = Home()
+    link = await home.async_acquire()
+    link.send([SET], is_followed=True)
+    home.opened[0].answer(DONE)
+    home.pool.release(link)
+    await home.async_fill()
+    home.pool.abort()
+
+
 @pytest.mark.parametrize("statement", [READ, BEGIN])
 async def test_a_statement_that_the_member_did_not_run_is_sent_again(statement: Statement) -> None:
     """Guards against a refusal of the member that goes to the caller though there is time."""
