Read only whole ticket keys and numbers from the store

A key of another writer such as `tickets/²` raised in each coordinator that listed the tickets, so that those behind it did not come into force; `tickets/2` counted as ticket 2 and was in force in place of the one that the operator submitted. A head of the tickets or of the audit trail of that kind ended a submission, and the audit trail. Cause: `isdigit` accepts what `int` does not (`²`, over 4,300 digits), and keys were not compared with the form in which they are written. Change: `find_ticket_number` (one in place of two) takes ten ASCII digits; `read_number` at most 18. All places that had `isdigit` use them.

--- a/libs/control/burdockrun_control/configuration.py
+++ b/libs/control/burdockrun_control/configuration.py
@@ -2,13 +2,13 @@
 
 from dataclasses import replace
 
-from burdockrun_fleet import SnapshotHead, snapshot_key, ticket_key
+from burdockrun_fleet import SnapshotHead, find_ticket_number, snapshot_key, ticket_key
 from burdockrun_messages import Configuration, GetKey, KeyEntry, PlatformFailure, decode_message
 from burdockrun_settings import apply_ticket_text, configuration_from_json
 from result import Err, Ok, Result
 
 from burdockrun_control.const import CALL_TIMEOUT_MS, KEY_SNAPSHOT_HEAD, KEY_TICKETS
-from burdockrun_control.store_reader import PlatformCaller, StoreReader, find_ticket_number
+from burdockrun_control.store_reader import PlatformCaller, StoreReader
 
 
 class ConfigurationReader:
--- a/libs/control/burdockrun_control/const.py
+++ b/libs/control/burdockrun_control/const.py
@@ -20,7 +20,6 @@
 KEY_AUDIT: Final = "audit/"
 KEY_ROSTERS: Final = "rosters/"
 KEY_SNAPSHOT_HEAD: Final = "snapshots/head"
-TICKET_DIGITS: Final = 10
 SUBMISSION_ID_BITS: Final = 64
 
 DEFAULT_TIMEOUT_MS: Final = 10_000
--- a/libs/control/burdockrun_control/store_reader.py
+++ b/libs/control/burdockrun_control/store_reader.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
+from burdockrun_fleet import find_ticket_number, read_number, ticket_key
 from burdockrun_messages import (
     GetKey,
     KeyEntry,
@@ -24,7 +25,6 @@
     KEY_TICKETS,
     KEY_TICKETS_HEAD,
     LIST_PAGE_KEYS,
-    TICKET_DIGITS,
 )
 
 
@@ -45,16 +45,6 @@
     return value if isinstance(value, dict) else {}
 
 
-def find_ticket_number(key: str) -> int | None:
-    """Return the number in the key of a ticket, or None for any other key.
-
-    >>> find_ticket_number("tickets/0000000012"), find_ticket_number("tickets/head")
-    (12, None)
-    """
-    digits = key.removeprefix(KEY_TICKETS)
-    return int(digits) if len(digits) == TICKET_DIGITS and digits.isdecimal() else None
-
-
 class StoreReader:
     """Reads the keys that proxies and submitters write to the store."""
 
@@ -86,7 +76,7 @@
         if isinstance(head, Err):
             return head
         # `tickets/head` may be behind the last ticket, never ahead; the list holds newer tickets.
-        start_after = f"{KEY_TICKETS}{max(0, head.ok_value - count):0{TICKET_DIGITS}}"
+        start_after = ticket_key(max(0, head.ok_value - count))
         entries = await self.async_list(KEY_TICKETS, start_after)
         return entries.map(lambda found: _index_entries(found, find_ticket_number))
 
@@ -101,7 +91,7 @@
             return Err(reply.reason)
         if not isinstance(reply, KeyEntry):
             return Err(f"unexpected reply {type(reply).__name__}")
-        return Ok(int(reply.value) if reply.value.isdecimal() else 0)
+        return Ok(read_number(reply.value) or 0)
 
     async def async_list_in_force(self) -> Result[dict[str, dict[str, Any]], str]:
         """Return the value of the `in_force` key of each failure domain.
--- a/libs/fleet/burdockrun_fleet/const.py
+++ b/libs/fleet/burdockrun_fleet/const.py
@@ -98,6 +98,8 @@
 
 TICKET_PREFIX: Final = "tickets/"
 TICKET_HEAD: Final = "tickets/head"
+# Digits of the number in the key of a ticket.
+TICKET_DIGITS: Final = 10
 SNAPSHOT_PREFIX: Final = "snapshots/"
 SNAPSHOT_HEAD: Final = "snapshots/head"
 GROUP_PREFIX: Final = "groups/"
--- a/libs/fleet/burdockrun_fleet/coordinator.py
+++ b/libs/fleet/burdockrun_fleet/coordinator.py
@@ -23,7 +23,7 @@
 )
 from burdockrun_fleet.evidence import Evidence
 from burdockrun_fleet.lease import CoordinatorLease
-from burdockrun_fleet.loader import PrefixFollower, SnapshotReader, ticket_key
+from burdockrun_fleet.loader import PrefixFollower, SnapshotReader, read_ticket, ticket_key
 from burdockrun_fleet.records import RecordTable
 from burdockrun_fleet.reports import AuditWriter, InForceWriter
 from burdockrun_fleet.roster_writer import RosterReader, RosterWriter
@@ -164,7 +164,8 @@
     def _receive_tickets(self, entries: Sequence[KeyEntry], now_ms: int) -> None:
         before = self._components.applier.number
         self.on_tickets(entries, now_ms)
-        numbers = [int(e.key[-10:]) for e in entries if e.revision and e.key[-10:].isdigit()]
+        tickets = [ticket for entry in entries if (ticket := read_ticket(entry)) is not None]
+        numbers = [ticket.number for ticket in tickets]
         if numbers and self._components.applier.number == before and min(numbers) > before + 1:
             # The tickets in between were deleted or are missing in this reply.
             self._snapshot.restart()
--- a/libs/fleet/burdockrun_fleet/loader.py
+++ b/libs/fleet/burdockrun_fleet/loader.py
@@ -24,11 +24,13 @@
     RECORD_UNUSABLE,
     SNAPSHOT_HEAD,
     SNAPSHOT_PREFIX,
+    TICKET_DIGITS,
     TICKET_PREFIX,
     WATCH_TIMEOUT_MS,
     WATCH_WAIT_MS,
 )
 from burdockrun_fleet.models import SnapshotHead
+from burdockrun_fleet.numbers import read_number
 from burdockrun_fleet.tickets import TicketApplier
 
 _LIST_LIMIT = 100
@@ -40,7 +42,17 @@
     >>> ticket_key(7)
     'tickets/0000000007'
     """
-    return f"{TICKET_PREFIX}{number:010d}"
+    return f"{TICKET_PREFIX}{number:0{TICKET_DIGITS}d}"
+
+
+def find_ticket_number(key: str) -> int | None:
+    """Return the number in the key of a ticket, or None for any other key.
+
+    >>> find_ticket_number("tickets/0000000012"), find_ticket_number("tickets/12")
+    (12, None)
+    """
+    digits = key.removeprefix(TICKET_PREFIX)
+    return read_number(digits) if len(digits) == TICKET_DIGITS else None
 
 
 def snapshot_key(number: int, shard: int) -> str:
@@ -50,10 +62,10 @@
 
 def read_ticket(entry: KeyEntry) -> TicketRecord | None:
     """Return the ticket in a store entry, or None for other keys and deleted tickets."""
-    digits = entry.key.removeprefix(TICKET_PREFIX)
-    if not digits.isdigit() or entry.revision == 0:
+    number = find_ticket_number(entry.key)
+    if number is None or entry.revision == 0:
         return None
-    return TicketRecord(number=int(digits), text=entry.value)
+    return TicketRecord(number=number, text=entry.value)
 
 
 class PrefixFollower:
--- a/libs/fleet/burdockrun_fleet/reports.py
+++ b/libs/fleet/burdockrun_fleet/reports.py
@@ -28,6 +28,7 @@
     IN_FORCE_PREFIX,
 )
 from burdockrun_fleet.models import InForce
+from burdockrun_fleet.numbers import read_number
 
 
 def audit_key(domain: str, sequence: int) -> str:
@@ -157,7 +158,7 @@
         if not isinstance(reply, KeyEntry):
             self._backoff.fail(now_ms)
             return
-        self._sequence = int(reply.value) if reply.value.isdigit() else 1
+        self._sequence = read_number(reply.value) or 1
 
     def _receive_put(self, reply: PlatformReply, now_ms: int) -> None:
         if not isinstance(reply, PutReply) or self._sequence is None:
--- a/libs/fleet/burdockrun_fleet/submission.py
+++ b/libs/fleet/burdockrun_fleet/submission.py
@@ -23,6 +23,7 @@
 from burdockrun_fleet.const import KEPT_TICKETS, TICKET_HEAD, TICKET_PREFIX
 from burdockrun_fleet.loader import SnapshotReader, read_ticket, ticket_key
 from burdockrun_fleet.models import TicketFunctions
+from burdockrun_fleet.numbers import read_number
 from burdockrun_fleet.tickets import TicketApplier
 
 _LIST_LIMIT = 100
@@ -153,7 +154,7 @@
 
     def _receive_key(self, entry: KeyEntry, now_ms: int) -> None:
         if self._step is _Step.HEAD:
-            self._head = int(entry.value) if entry.value.isdigit() else 0
+            self._head = read_number(entry.value) or 0
             self._step = _Step.LOAD
         elif entry.revision == 0:
             self._step = _Step.CREATE
--- a/tests/fleet/test_coordinator.py
+++ b/tests/fleet/test_coordinator.py
@@ -7,7 +7,12 @@
 from burdockrun_base import ManualClock
 from burdockrun_fleet import AuditTrail, audit_key
 from burdockrun_fleet.backoff import Backoff, PlatformClient
-from burdockrun_fleet.const import AUDIT_BATCH_BYTES, BACKOFF_MAX_MS, LEASE_TTL_MS
+from burdockrun_fleet.const import (
+    AUDIT_BATCH_BYTES,
+    AUDIT_HEAD_PREFIX,
+    BACKOFF_MAX_MS,
+    LEASE_TTL_MS,
+)
 from burdockrun_fleet.lease import CoordinatorLease
 from burdockrun_fleet.reports import AuditWriter
 from burdockrun_fleet.simulation import Simulation
@@ -150,6 +155,18 @@
     assert seen == list(range(40))
 
 
+@pytest.mark.parametrize("head", ["²", "9" * 5_000])
+def test_an_odd_head_of_the_audit_trail_does_not_stop_it(head: str) -> None:
+    """Guards against an audit trail that ends at a value of another writer."""
+    driver = StoreDriver(ManualClock())
+    driver.put(AUDIT_HEAD_PREFIX + "aug", head)
+    trail = AuditTrail(NODE, driver.outbox)
+    trail.record("ticket", 1, {"ticket": 1})
+    writer = AuditWriter("aug", trail, PlatformClient(driver.outbox), Backoff(driver.rng), _always)
+    driver.run(20_000, writer.tick)
+    assert json.loads(driver.read(audit_key("aug", 1)))[0]["fields"] == {"ticket": 1}
+
+
 def _always(now_ms: int) -> bool:
     return True
 
--- a/tests/fleet/test_submission.py
+++ b/tests/fleet/test_submission.py
@@ -14,6 +14,7 @@
     Unknown,
     ticket_key,
 )
+from burdockrun_fleet.const import TICKET_HEAD
 from burdockrun_messages import Configuration, KeysReply, ListKeys, Outbox
 
 from tests.fleet.common import TICKET_FUNCTIONS, StoreDriver, make_ticket
@@ -110,6 +111,19 @@
     assert len(list_texts(driver)) == 1
 
 
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [(TICKET_HEAD, "²"), (TICKET_HEAD, "9" * 5_000), ("tickets/²", make_ticket(9))],
+)
+def test_a_submission_does_not_rest_on_an_odd_value_of_another_writer(key: str, value: str) -> None:
+    """Guards against an error, or a wrong number, in place of the result of a submission."""
+    driver = StoreDriver(ManualClock())
+    driver.put(key, value)
+    client = Client(driver, 1, seed=1, limit_ms=5_000)
+    run_clients(driver, [client])
+    assert client.results == [Accepted(number=1)]
+
+
 def test_a_submission_without_platform_ends_at_its_deadline() -> None:
     """Guards against a client that hangs, or reports a committed ticket as rejected."""
     driver = StoreDriver(ManualClock())
--- a/tests/fleet/test_tickets.py
+++ b/tests/fleet/test_tickets.py
@@ -1,5 +1,6 @@
 """Tests of tickets: order, gossip, snapshots and new nodes."""
 
+import pytest
 from burdockrun_base import ManualClock
 from burdockrun_fleet import TicketApplier, snapshot_key, ticket_key
 from burdockrun_fleet.backoff import Backoff, PlatformClient
@@ -71,6 +72,19 @@
     assert numbers_in_force(simulation) == {3}
 
 
+@pytest.mark.parametrize("key", ["²", "²" * 10, "9" * 150, "2", "٠٠٠٠٠٠٠٠٠٢", "-000000002"])
+def test_an_odd_key_among_the_tickets_does_not_stop_nodes(key: str) -> None:
+    """Guards against a key of another writer that hides tickets, or counts as one."""
+    simulation = start_fleet(seed=16, count=8)
+    simulation.apply(PutKey(key=f"tickets/{key}", value=make_ticket(9)))
+    simulation.run(2_000)
+    put_tickets(simulation, 2, 2)
+    simulation.run(4_000)
+    assert numbers_in_force(simulation) == {2}
+    for node in simulation.nodes.values():
+        assert set(node.agent.configuration.services) == {"s-1", "s-2"}
+
+
 def test_an_older_snapshot_never_replaces_newer_tickets() -> None:
     """Guards against a late snapshot that reverts newer tickets."""
     old, new = TicketApplier(TICKET_FUNCTIONS, Outbox()), TicketApplier(TICKET_FUNCTIONS, Outbox())
