Read no text of the store that is nested too deeply

A committed ticket whose text is nested 100,000 deep is left out when it is applied, but the coordinator then read its author for the audit trail and raised: the tickets of that reply were not passed on to peers. `burdockrunctl audit`, `status`, `route` and `explain` ended with a traceback at such a value or log line. Cause: json.loads raises RecursionError, which is no ValueError. Evidence: test_a_ticket_that_no_decoder_can_read_does_not_stop_nodes, test_a_line_that_no_decoder_can_read_does_not_hide_the_others and test_an_audit_batch_that_no_decoder_can_read_does_not_hide_the_others fail before for the nested text.

--- a/libs/control/burdockrun_control/audit.py
+++ b/libs/control/burdockrun_control/audit.py
@@ -43,7 +43,7 @@
     """
     try:
         batch = json.loads(entry.value)
-    except ValueError:
+    except (ValueError, RecursionError):
         batch = None
     if not isinstance(batch, list):
         return [{"domain": domain, "kind": "unreadable_batch", "key": entry.key}]
--- a/libs/control/burdockrun_control/explain.py
+++ b/libs/control/burdockrun_control/explain.py
@@ -64,7 +64,7 @@
             name=str(record["name"]),
             fields={key: value for key, value in record.items() if key not in COMMON_FIELDS},
         )
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
         return None
 
 
--- a/libs/control/burdockrun_control/store_reader.py
+++ b/libs/control/burdockrun_control/store_reader.py
@@ -40,7 +40,7 @@
     """Return the JSON object in a text, or an empty one when there is none."""
     try:
         value = json.loads(text)
-    except ValueError:
+    except (ValueError, RecursionError):
         return {}
     return value if isinstance(value, dict) else {}
 
--- a/libs/fleet/burdockrun_fleet/submission.py
+++ b/libs/fleet/burdockrun_fleet/submission.py
@@ -239,7 +239,7 @@
 def _read_texts(text: str, first: str, second: str) -> tuple[str, str]:
     try:
         document = json.loads(text)
-    except ValueError:
+    except (ValueError, RecursionError):
         return "", ""
     if not isinstance(document, dict):
         return "", ""
--- a/tests/control/test_explain.py
+++ b/tests/control/test_explain.py
@@ -51,6 +51,17 @@
     ]
 
 
+def test_a_line_that_no_decoder_can_read_does_not_hide_the_others(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a deeply nested line that ends the command."""
+    log = tmp_path / "one.log"
+    good = build_line(1_500, "n1", 1317, "request_refused", request="q1")
+    log.write_text('{"a":' * 100_000 + f"\n{good}\n")
+    assert main(["explain", "q1", "--log", str(log)]) == 2
+    assert "request_refused" in capsys.readouterr().out
+
+
 def test_an_unknown_request_is_reported(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     """Guards against empty output for a request that no log mentions."""
     log = tmp_path / "one.log"
--- a/tests/control/test_program.py
+++ b/tests/control/test_program.py
@@ -92,6 +92,19 @@
     assert records[1]["term"] == 3
 
 
+@pytest.mark.parametrize("value", ["{", "[" * 100_000, '[{"at_ms": ' + "9" * 5_000 + "}]"])
+async def test_an_audit_batch_that_no_decoder_can_read_does_not_hide_the_others(value: str) -> None:
+    """Guards against a value of another writer that ends the command."""
+    platform = FakePlatform()
+    platform.put("audit/nbg/0000000001", value)
+    platform.put("audit/nbg/0000000002", [{"kind": "ticket", "at_ms": 1, "fields": {}}])
+    platform.put("in_force/nbg", {"number": 1})
+    async with run_platform(platform) as address, aiohttp.ClientSession() as session:
+        reader = AuditReader(StoreReader(PlatformClient(f"http://{address}", session)))
+        records = (await reader.async_read()).unwrap()
+    assert sorted(record["kind"] for record in records) == ["ticket", "unreadable_batch"]
+
+
 async def test_audit_reader_returns_each_record_once() -> None:
     """Guards against a followed audit trail that repeats records or is read again in full."""
     platform = FakePlatform()
--- a/tests/fleet/test_tickets.py
+++ b/tests/fleet/test_tickets.py
@@ -72,6 +72,9 @@
     assert numbers_in_force(simulation) == {3}
 
 
+DEEP = '{"submission_id": ' + "[" * 100_000 + "]" * 100_000 + "}"
+
+
 @pytest.mark.parametrize("key", ["²", "²" * 10, "9" * 150, "2", "٠٠٠٠٠٠٠٠٠٢", "-000000002"])
 def test_an_odd_key_among_the_tickets_does_not_stop_nodes(key: str) -> None:
     """Guards against a key of another writer that hides tickets, or counts as one."""
@@ -85,6 +88,17 @@
         assert set(node.agent.configuration.services) == {"s-1", "s-2"}
 
 
+@pytest.mark.parametrize("text", [DEEP, '{"author": ' + "9" * 5_000 + "}", '{"author": "\\ud800"}'])
+def test_a_ticket_that_no_decoder_can_read_does_not_stop_nodes(text: str) -> None:
+    """Guards against a ticket whose author cannot be read and that keeps others from being told."""
+    simulation = start_fleet(seed=17, count=8)
+    simulation.apply(PutKey(key=ticket_key(2), value=text, expected_revision=0))
+    simulation.run(4_000)
+    put_tickets(simulation, 3, 3)
+    simulation.run(4_000)
+    assert numbers_in_force(simulation) == {3}
+
+
 def test_an_older_snapshot_never_replaces_newer_tickets() -> None:
     """Guards against a late snapshot that reverts newer tickets."""
     old, new = TicketApplier(TICKET_FUNCTIONS, Outbox()), TicketApplier(TICKET_FUNCTIONS, Outbox())
