Describe unexpected errors in one place for all programs

Cause: the proxy needs the fields that the gateway logs of an unexpected error, and may not import the gateway. Change: `describe_error` and `shorten_reason` move to the base library; no behaviour changes.

--- a/libs/base/burdockrun_base/__init__.py
+++ b/libs/base/burdockrun_base/__init__.py
@@ -3,6 +3,7 @@
 from burdockrun_base.application import Application
 from burdockrun_base.clock import Clock, ManualClock, SystemClock
 from burdockrun_base.descriptors import raise_descriptor_limit
+from burdockrun_base.errors import describe_error, shorten_reason
 from burdockrun_base.findings import Finding, Findings
 from burdockrun_base.log_events import (
     FORMAT_JSON,
@@ -49,10 +50,12 @@
     "Registry",
     "SystemClock",
     "define_event",
+    "describe_error",
     "list_events",
     "open_write",
     "raise_descriptor_limit",
     "set_up_logs",
     "set_up_rate_limited_logs",
     "set_up_standard_streams",
+    "shorten_reason",
 ]
--- /dev/null
+++ b/libs/base/burdockrun_base/errors.py
@@ -0,0 +1,34 @@
+"""Short descriptions of errors, each for one line of the log."""
+
+import traceback
+from pathlib import Path
+from typing import Final
+
+# Longest reason that goes into one line of the log.
+MAX_REASON_CHARS: Final = 200
+# Innermost calls of a traceback that go into its log line.
+MAX_FRAMES: Final = 8
+
+
+def shorten_reason(reason: str) -> str:
+    """Return a reason without what exceeds `MAX_REASON_CHARS`.
+
+    >>> len(shorten_reason("x" * 5_000)) == MAX_REASON_CHARS
+    True
+    """
+    return reason if len(reason) <= MAX_REASON_CHARS else reason[: MAX_REASON_CHARS - 1] + "…"
+
+
+def describe_error(error: BaseException) -> dict[str, str]:
+    """Return the fields of a log event for an unexpected error: the error and where it was raised.
+
+    >>> describe_error(ValueError("no number"))
+    {'error': "ValueError('no number')", 'trace': ''}
+    """
+    return {"error": shorten_reason(repr(error)), "trace": _describe_trace(error)}
+
+
+def _describe_trace(error: BaseException) -> str:
+    """Return the innermost calls that led to an error, in one line, the innermost one last."""
+    frames = traceback.extract_tb(error.__traceback__)[-MAX_FRAMES:]
+    return " > ".join(f"{Path(one.filename).name}:{one.lineno} {one.name}" for one in frames)
--- a/libs/gateway/burdockrun_gateway/__init__.py
+++ b/libs/gateway/burdockrun_gateway/__init__.py
@@ -16,7 +16,6 @@
     decode_json,
     is_host_address,
     is_name,
-    shorten_reason,
 )
 from burdockrun_gateway.drain import STOPPING
 from burdockrun_gateway.gateway import Gateway, SessionFault, SharingFault
@@ -91,5 +90,4 @@
     "is_host_address",
     "is_name",
     "load_listing",
-    "shorten_reason",
 ]
--- a/libs/gateway/burdockrun_gateway/decoding.py
+++ b/libs/gateway/burdockrun_gateway/decoding.py
@@ -5,6 +5,7 @@
 from typing import Annotated, Final, TypeVar
 
 import msgspec
+from burdockrun_base import shorten_reason
 from result import Err, Ok, Result
 
 # Largest integer of 64 bits; no counter, revision or time in ms of a sound value exceeds it.
@@ -12,8 +13,6 @@
 # Amounts and durations are floats, which are exact up to this whole number.
 MAX_AMOUNT: Final = 2**53
 MAX_PORT: Final = 65_535
-# Longest reason of a refusal, which goes into one line of the log.
-MAX_REASON_CHARS: Final = 200
 # A store key has at most this many bytes.
 MAX_NAME_CHARS: Final = 200
 # Printable ASCII without blanks, as a field of a line needs it.
@@ -40,15 +39,6 @@
         return Err(shorten_reason(str(error)))
 
 
-def shorten_reason(reason: str) -> str:
-    """Return a reason without what exceeds `MAX_REASON_CHARS`.
-
-    >>> len(shorten_reason("x" * 5_000)) == MAX_REASON_CHARS
-    True
-    """
-    return reason if len(reason) <= MAX_REASON_CHARS else reason[: MAX_REASON_CHARS - 1] + "…"
-
-
 def is_host_address(host: str) -> bool:
     """Return whether a host is an IPv4 address of one host; names are not looked up.
 
--- a/libs/gateway/burdockrun_gateway/records.py
+++ b/libs/gateway/burdockrun_gateway/records.py
@@ -7,11 +7,11 @@
 from typing import Final
 
 import msgspec
-from burdockrun_base import LogPosition
+from burdockrun_base import LogPosition, shorten_reason
 from burdockrun_groups import GroupRecord, NodeEntry, Suspicion
 from result import Err, Ok, Result
 
-from burdockrun_gateway.decoding import Count, Port, decode_json, is_host_address, shorten_reason
+from burdockrun_gateway.decoding import Count, Port, decode_json, is_host_address
 from burdockrun_gateway.ports import HistoryGap, Item, Listing, SharedPosition
 
 # Values of at least this size are compressed for other nodes. A configuration of 20 KB that a copy
--- a/libs/gateway/burdockrun_gateway/tasks.py
+++ b/libs/gateway/burdockrun_gateway/tasks.py
@@ -1,12 +1,10 @@
 """Background tasks that do not end the program when they fail."""
 
 import asyncio
-import traceback
 from collections.abc import Callable, Coroutine
-from pathlib import Path
-from typing import Any, Final
+from typing import Any
 
-from burdockrun_base import Application
+from burdockrun_base import Application, describe_error
 
 from burdockrun_gateway.const import (
     TASK_FAILED,
@@ -14,10 +12,6 @@
     TASK_RETRY_MAX_MS,
     TASK_RETRY_MS,
 )
-from burdockrun_gateway.decoding import shorten_reason
-
-# Innermost calls of a traceback that go into its log line.
-MAX_FRAMES: Final = 8
 
 
 def report_failure(app: Application, task: str, error: BaseException, /, **details: object) -> None:
@@ -28,8 +22,7 @@
         f"{task} {type(error).__name__}",
         TASK_LOG_INTERVAL_MS,
         task=task,
-        error=shorten_reason(repr(error)),
-        trace=_describe_trace(error),
+        **describe_error(error),
         **details,
     )
 
@@ -119,9 +112,3 @@
                 delay_ms = TASK_RETRY_MS
             await asyncio.sleep(delay_ms / 1000)
             delay_ms = min(2 * delay_ms, TASK_RETRY_MAX_MS)
-
-
-def _describe_trace(error: BaseException) -> str:
-    """Return the innermost calls that led to an error, in one line, the innermost one last."""
-    frames = traceback.extract_tb(error.__traceback__)[-MAX_FRAMES:]
-    return " > ".join(f"{Path(one.filename).name}:{one.lineno} {one.name}" for one in frames)
