Let one failed event stop nothing else in a proxy

An event whose handling raised, such as a value of the store that a decoder could not read, ended the task that had passed it on. If that was the timer, the proxy served on without deadlines, retries, membership or promotions as long as it ran; if it was the link to a peer, the link ended; if it was a call to the platform or a member, whoever waited for the reply did so for good. Cause: nothing stood between the decisions and the tasks that feed them; periodic steps ran one after the other, so that the first to raise left out the rest. Change: the driver logs the error (910) and goes on with the next event or action; a call that raises is answered as failed; each periodic step is run by itself. A strict node, as in soaks and tests, still raises.

--- a/libs/proxy/burdockrun_proxy/const.py
+++ b/libs/proxy/burdockrun_proxy/const.py
@@ -8,6 +8,7 @@
 
 TICK_INTERVAL_MS: Final = 50
 PAUSE_THRESHOLD_MS: Final = 500
+FAILURE_LOG_INTERVAL_MS: Final = 10_000
 SETTLE_TIMEOUT_MS: Final = 300
 FRESHNESS_WAIT_MS: Final = 200
 FRESHNESS_REPLY_MARGIN_MS: Final = 200
@@ -56,3 +57,9 @@
 TRANSACTION_EXPIRED = define_event(
     909, "transaction_expired", Level.INFO, "An idle transaction was rolled back."
 )
+EVENT_FAILED = define_event(
+    910,
+    "proxy_event_failed",
+    Level.ERROR,
+    "The proxy has raised an unexpected error as it handled an event; it goes on with the next.",
+)
--- a/libs/proxy/burdockrun_proxy/driver.py
+++ b/libs/proxy/burdockrun_proxy/driver.py
@@ -5,8 +5,9 @@
 from typing import Any
 
 import aiohttp
-from burdockrun_base import Application, Registry
+from burdockrun_base import Application, Registry, describe_error
 from burdockrun_messages import (
+    Action,
     CallControl,
     CallPlatform,
     CloseConnection,
@@ -15,6 +16,7 @@
     Event,
     OpenConnection,
     PlatformAnswered,
+    PlatformFailure,
     ProcessPaused,
     RecordLog,
     RecordMetric,
@@ -28,7 +30,12 @@
 )
 from burdockrun_platform import PlatformClient
 
-from burdockrun_proxy.const import PAUSE_THRESHOLD_MS, TICK_INTERVAL_MS
+from burdockrun_proxy.const import (
+    EVENT_FAILED,
+    FAILURE_LOG_INTERVAL_MS,
+    PAUSE_THRESHOLD_MS,
+    TICK_INTERVAL_MS,
+)
 from burdockrun_proxy.endpoints import EndpointLinks
 from burdockrun_proxy.node import ProxyNode
 from burdockrun_proxy.peers import PeerLinks
@@ -87,28 +94,56 @@
         self._callers.pop(caller_id, None)
 
     def dispatch(self, event: Event) -> None:
-        """Pass an event to the node and perform the resulting actions."""
+        """Pass an event to the node and perform the resulting actions.
+
+        An error is logged and stops neither the task that dispatches nor other events and actions.
+        """
         self._queue.append(event)
         if self._dispatching:
             return
         self._dispatching = True
         try:
             while self._queue:
-                for action in self.node.handle(self._queue.pop(0), self._app.clock.now_ms()):
+                for action in self._handle(self._queue.pop(0)):
                     self._perform(action)
         finally:
             self._dispatching = False
 
+    def _handle(self, event: Event) -> list[Action]:
+        """Return the actions of an event; those of one that fails come with the next event."""
+        try:
+            return self.node.handle(event, self._app.clock.now_ms())
+        except Exception as error:
+            self._report_failure(type(event).__name__, error)
+            return []
+
+    def _report_failure(self, kind: str, error: BaseException) -> None:
+        """Log and count an unexpected error."""
+        self._app.metrics.count("event_failed")
+        self._app.events.write_spaced(
+            EVENT_FAILED, kind, FAILURE_LOG_INTERVAL_MS, kind=kind, **describe_error(error)
+        )
+
     def spawn(self, coroutine: Any) -> None:
         """Run a coroutine in the background until it ends or the driver stops."""
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._handle_done)
+
+    def _handle_done(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self._report_failure(task.get_coro().__qualname__, error)  # type: ignore[union-attr]
 
     def _perform(self, action: object) -> None:
-        handler = _action_handlers.get(type(action).__name__)
-        assert handler is not None, f"no handler for {type(action).__name__}"
-        handler(self, action)
+        name = type(action).__name__
+        handler = _action_handlers.get(name)
+        assert handler is not None, f"no handler for {name}"
+        try:
+            handler(self, action)
+        except Exception as error:
+            self._report_failure(name, error)
 
     @_action_handlers.register("SendAnswer")
     def _send_answer(self, action: SendAnswer) -> None:
@@ -161,11 +196,21 @@
         self.drained.set()
 
     async def _async_call_control(self, action: CallControl) -> None:
-        reply = await self._endpoints.async_call(action.member, action.operation, action.timeout_ms)
+        try:
+            reply = await self._endpoints.async_call(
+                action.member, action.operation, action.timeout_ms
+            )
+        except Exception as error:  # whoever called waits for a reply
+            self._report_failure("CallControl", error)
+            reply = None
         self.dispatch(ControlAnswered(call_id=action.call_id, reply=reply))
 
     async def _async_call_platform(self, action: CallPlatform) -> None:
-        reply = await self._platform.async_call(action.operation, action.timeout_ms)
+        try:
+            reply = await self._platform.async_call(action.operation, action.timeout_ms)
+        except Exception as error:  # whoever called waits for a reply
+            self._report_failure("CallPlatform", error)
+            reply = PlatformFailure(reason="unexpected error")
         self.dispatch(PlatformAnswered(call_id=action.call_id, reply=reply))
 
     async def _async_tick(self) -> None:
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -7,7 +7,7 @@
 from typing import Any, Final
 
 from burdockrun_admission import AccountLimiter
-from burdockrun_base import Registry
+from burdockrun_base import Registry, describe_error
 from burdockrun_failover import Acknowledger, GroupSupervisor, ProbeBudget
 from burdockrun_fleet import FleetAgent, TicketFunctions
 from burdockrun_messages import (
@@ -47,6 +47,7 @@
 
 from burdockrun_proxy.const import (
     CONFIGURATION_IN_FORCE,
+    EVENT_FAILED,
     HANDOVER_TIMEOUT_MS,
     MAX_ACCOUNT_IN_FLIGHT,
     PROCESS_PAUSED,
@@ -96,6 +97,7 @@
         self.info = node
         self._rng = rng
         self._policies = policies
+        self._strict = strict
         self._outbox = Outbox()
         # A random start keeps ids from matching those of an earlier process of this name.
         self._ids = count(rng.getrandbits(ID_BITS))
@@ -223,17 +225,29 @@
 
     @_handlers.register("TimerFired")
     def _timer_fired(self, event: TimerFired, now_ms: int) -> None:
-        self.fleet.tick(now_ms)
-        self._homes.resize(now_ms)
-        self._update_supervisors(now_ms)
-        for supervisor in self._supervisors.values():
-            supervisor.tick(now_ms)
-        self._homes.tick(now_ms)
-        self._settlement.tick(now_ms)
-        self._acknowledger.tick(now_ms)
-        self._entry.tick(now_ms)
-        self._replace_unusable_primaries(now_ms)
-        self._report_drained(now_ms)
+        self._run_steps([self.fleet.tick, self._homes.resize, self._update_supervisors], now_ms)
+        self._run_steps([one.tick for one in self._supervisors.values()], now_ms)
+        steps = [
+            self._homes.tick,
+            self._settlement.tick,
+            self._acknowledger.tick,
+            self._entry.tick,
+            self._replace_unusable_primaries,
+            self._report_drained,
+        ]
+        self._run_steps(steps, now_ms)
+
+    def _run_steps(self, steps: Sequence[Callable[[int], None]], now_ms: int) -> None:
+        """Run periodic steps; unless the node is strict, an error in one does not stop others."""
+        for step in steps:
+            try:
+                step(now_ms)
+            except Exception as error:
+                if self._strict:
+                    raise
+                self._outbox.log_rate_limited(
+                    EVENT_FAILED, now_ms, kind=step.__qualname__, **describe_error(error)
+                )
 
     @_handlers.register("ProcessPaused")
     def _process_paused(self, event: ProcessPaused, now_ms: int) -> None:
--- /dev/null
+++ b/tests/proxy/test_driver.py
@@ -0,0 +1,119 @@
+"""Tests of the driver of a proxy node: what an unexpected error may stop."""
+
+import asyncio
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+from unittest.mock import patch
+
+import aiohttp
+from burdockrun_base import Application, EventLog, ManualClock
+from burdockrun_bench.soak import SESSION_KEY, TICKET_FUNCTIONS
+from burdockrun_fleet import FleetAgent
+from burdockrun_messages import (
+    Action,
+    Event,
+    GetKey,
+    NodeInfo,
+    Outbox,
+    PeerLost,
+    PlatformReply,
+    RecordLog,
+    Started,
+    TimerFired,
+)
+from burdockrun_proxy import ProxyNode
+from burdockrun_proxy.const import EVENT_FAILED
+from burdockrun_proxy.driver import NodeDriver
+from burdockrun_proxy.entry import RequestRouter
+
+NODE = NodeInfo(node="p1", domain="aug", host="127.0.0.1", port=1)
+WATCHED_S = 0.5
+
+
+class FaultyNode:
+    """Node that raises at the first event of a kind, and calls the platform at its start."""
+
+    def __init__(self, faulty: type[Event]) -> None:
+        self.info = NODE
+        self.handled: list[str] = []
+        self._outbox = Outbox()
+        self._faulty: type[Event] | None = faulty
+
+    def handle(self, event: Event, now_ms: int) -> list[Action]:
+        """Record an event."""
+        self.handled.append(type(event).__name__)
+        if isinstance(event, Started):
+            call = GetKey(key="tickets/head")
+            self._outbox.call_platform(call, timeout_ms=100, on_reply=lambda reply, then_ms: None)
+        if self._faulty is not None and isinstance(event, self._faulty):
+            self._faulty = None
+            raise ValueError("an odd value")
+        return self._outbox.drain()
+
+
+class FaultyPlatform:
+    """Platform client with a defect."""
+
+    async def async_call(self, operation: object, timeout_ms: int) -> PlatformReply:
+        """Fail."""
+        raise KeyError("an odd reply")
+
+
+async def async_run_node(node: FaultyNode) -> list[dict[str, Any]]:
+    """Run a node for a while; return the fields of the failures that its driver has logged."""
+    app = Application(clock=ManualClock(100_000), events=EventLog("json"))
+    failures: list[dict[str, Any]] = []
+    app.events = SimpleNamespace(  # type: ignore[assignment]
+        write_spaced=lambda event, key, interval_ms, **fields: failures.append(fields)
+    )
+    async with aiohttp.ClientSession() as session:
+        driver = NodeDriver(app, node, session, FaultyPlatform())  # type: ignore[arg-type]
+        driver.start()
+        await asyncio.sleep(WATCHED_S)
+        driver.dispatch(PeerLost(peer="p2"))
+        await driver.async_stop()
+    return failures
+
+
+async def test_a_timer_event_that_fails_does_not_stop_the_timer() -> None:
+    """Guards against a proxy that serves on without timers after one unexpected error."""
+    node = FaultyNode(TimerFired)
+    failures = await async_run_node(node)
+    assert node.handled.count("TimerFired") > 2
+    failure = next(one for one in failures if one["kind"] == "TimerFired")
+    assert "an odd value" in failure["error"] and "handle" in failure["trace"]
+
+
+async def test_an_event_that_fails_does_not_reach_who_dispatches_it() -> None:
+    """Guards against a connection to a peer that ends since its loss could not be handled."""
+    node = FaultyNode(PeerLost)
+    failures = await async_run_node(node)
+    assert "PeerLost" in [one["kind"] for one in failures]
+
+
+async def test_a_call_to_the_platform_that_fails_is_answered() -> None:
+    """Guards against a part of a node that waits for its reply as long as the process runs."""
+    node = FaultyNode(PeerLost)
+    failures = await async_run_node(node)
+    assert "CallPlatform" in [one["kind"] for one in failures]
+    assert "PlatformAnswered" in node.handled
+
+
+def test_a_periodic_step_that_fails_does_not_stop_the_others() -> None:
+    """Guards against requests without a deadline since another part of the node has failed."""
+    node = ProxyNode(
+        node=NODE,
+        seeds=(),
+        session_keys=(SESSION_KEY,),
+        ticket_functions=TICKET_FUNCTIONS,
+        rng=Random(1),
+    )
+    node.handle(Started(), 0)
+    with (
+        patch.object(FleetAgent, "tick", autospec=True, side_effect=ValueError("odd")),
+        patch.object(RequestRouter, "tick") as tick,
+    ):
+        actions = node.handle(TimerFired(), 50)
+    assert tick.call_count == 1
+    assert EVENT_FAILED in [one.event for one in actions if isinstance(one, RecordLog)]
