Answer all callers when the drain of a proxy times out

A request that outlasted `drain_timeout_ms`, for instance at a member that hangs, or behind such requests in the queue of a home, got no answer: its stream or connection was closed. Its caller could not know that a queued one had never run, nor use the other proxies that a refusal names. Cause: the drain waits for a moment at which nothing is in flight, and had no end of its own for what comes later. Change: at the time-out the node hears `DrainExpired`. Homes return what is queued, which is refused as `not_run` / `draining` with the other nodes; callers of other nodes are passed on by these. What may be at a member is answered `unknown`. Later statements, in transactions too, are refused. A run of real processes with a member that hangs was not made.

--- a/libs/messages/burdockrun_messages/events.py
+++ b/libs/messages/burdockrun_messages/events.py
@@ -99,6 +99,11 @@
     """The process must accept no new work, finish what is in flight and stop."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DrainExpired:
+    """The process stops now, whatever is in flight; all callers must be answered."""
+
+
 Event = (
     Started
     | RequestReceived
@@ -113,4 +118,5 @@
     | TimerFired
     | ProcessPaused
     | DrainRequested
+    | DrainExpired
 )
--- a/libs/proxy/burdockrun_proxy/entry.py
+++ b/libs/proxy/burdockrun_proxy/entry.py
@@ -110,6 +110,8 @@
         self.configuration = Configuration()
         self.records: dict[str, GroupRecord] = {}
         self.draining = False
+        # Whether nothing is served any more, in transactions neither.
+        self._has_ended = False
 
     @property
     def in_flight(self) -> int:
@@ -173,6 +175,18 @@
                 continue
             self._retry(pending, now_ms)
 
+    def refuse_all(self) -> None:
+        """Refuse everything that has not been passed on to a home, from now on."""
+        self._has_ended = True
+
+    def answer_all(self, now_ms: int) -> None:
+        """Answer all callers with what is certain about their requests."""
+        for pending in tuple(self._pending.values()):
+            if pending.node is None:
+                self._finish(pending, self._refuse_draining(pending.request), now_ms)
+            else:
+                self._finish(pending, answer_unknown(pending.request, "proxy has stopped"), now_ms)
+
     def record_changed(self, database: str, now_ms: int) -> None:
         """Route the requests of a database that wait for a route, most urgent first."""
         awaiting_route = [
@@ -195,7 +209,7 @@
                 self._route(pending, now_ms)
 
     def _check(self, request: StatementRequest) -> Result[CheckedRequest, StatementAnswer]:
-        if self.draining and request.transaction is None:
+        if self._has_ended or (self.draining and request.transaction is None):
             return Err(self._refuse_draining(request))
         return self._checker.check(request, self.configuration)
 
@@ -230,6 +244,9 @@
 
     def _route(self, pending: PendingRequest, now_ms: int) -> None:
         pending.awaiting_route = False
+        if self._has_ended:
+            self._finish(pending, self._refuse_draining(pending.request), now_ms)
+            return
         if now_ms >= pending.deadline_ms:
             self._finish_refused(
                 pending, self._choose_expiry_code(pending), "deadline passed before it ran", now_ms
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -18,6 +18,7 @@
     ConnectionOpened,
     ControlAnswered,
     Database,
+    DrainExpired,
     DrainFinished,
     DrainRequested,
     Event,
@@ -266,6 +267,14 @@
         self._outbox.log(PROXY_DRAINING, in_flight=self._entry.in_flight)
         self.fleet.drain(now_ms)
 
+    @_handlers.register("DrainExpired")
+    def _end_drain(self, event: DrainExpired, now_ms: int) -> None:
+        """Answer all callers; what waits at a home here has not run, and may run elsewhere."""
+        self._entry.refuse_all()
+        for home in self._homes:
+            home.return_queued(now_ms)
+        self._entry.answer_all(now_ms)
+
     def _receive_forward(self, message: Forward, now_ms: int) -> None:
         self._forwards_in_flight += 1
         request = HomeRequest(
--- a/libs/proxy/burdockrun_proxy/program.py
+++ b/libs/proxy/burdockrun_proxy/program.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 from burdockrun_base import Application, EventLog, Metrics, set_up_logs
 from burdockrun_fleet import TicketFunctions
-from burdockrun_messages import DrainRequested, NodeInfo
+from burdockrun_messages import DrainExpired, DrainRequested, NodeInfo
 from burdockrun_platform import PlatformClient
 from burdockrun_settings import (
     ProxySettings,
@@ -124,13 +124,13 @@
 
 
 async def async_drain(driver: NodeDriver, timeout_ms: int) -> None:
-    """Drain the node and wait until nothing is in flight or the timeout passes."""
+    """Drain the node until nothing is in flight; at the timeout, answer all that still is."""
     driver.dispatch(DrainRequested())
     try:
         async with asyncio.timeout(timeout_ms / 1000):
             await driver.drained.wait()
     except TimeoutError:
-        return
+        driver.dispatch(DrainExpired())
 
 
 if __name__ == "__main__":
--- a/tests/proxy/test_driver.py
+++ b/tests/proxy/test_driver.py
@@ -12,6 +12,8 @@
 from burdockrun_fleet import FleetAgent
 from burdockrun_messages import (
     Action,
+    DrainExpired,
+    DrainRequested,
     Event,
     GetKey,
     NodeInfo,
@@ -26,6 +28,7 @@
 from burdockrun_proxy.const import EVENT_FAILED
 from burdockrun_proxy.driver import NodeDriver
 from burdockrun_proxy.entry import RequestRouter
+from burdockrun_proxy.program import async_drain
 
 NODE = NodeInfo(node="p1", domain="aug", host="127.0.0.1", port=1)
 WATCHED_S = 0.5
@@ -100,6 +103,14 @@
     assert "PlatformAnswered" in node.handled
 
 
+async def test_a_drain_that_times_out_has_its_callers_answered() -> None:
+    """Guards against streams that are closed with requests that nobody has answered."""
+    events: list[Event] = []
+    driver = SimpleNamespace(dispatch=events.append, drained=asyncio.Event())
+    await async_drain(driver, timeout_ms=10)  # type: ignore[arg-type]
+    assert events == [DrainRequested(), DrainExpired()]
+
+
 def test_a_periodic_step_that_fails_does_not_stop_the_others() -> None:
     """Guards against requests without a deadline since another part of the node has failed."""
     node = ProxyNode(
--- a/tests/proxy/test_node.py
+++ b/tests/proxy/test_node.py
@@ -5,7 +5,14 @@
 import pytest
 from burdockrun_bench.links import PLATFORM
 from burdockrun_bench.node_host import NodeHost
-from burdockrun_messages import Code, DrainRequested, Outcome, PeerLost, TransactionStep
+from burdockrun_messages import (
+    Code,
+    DrainExpired,
+    DrainRequested,
+    Outcome,
+    PeerLost,
+    TransactionStep,
+)
 from burdockrun_proxy import NAIVE_POLICIES
 
 from tests.proxy.common import DATABASE, SERVICE, VirtualDeployment
@@ -172,6 +179,39 @@
     assert measure_longest_write_ms(deployment, other, 20_000) <= 11_000
 
 
+def test_a_drain_that_ends_too_early_answers_all_callers() -> None:
+    """Guards against requests that end without an answer when a member outlasts the drain.
+
+    A request that has not been sent to the member is refused as not run, and it never runs.
+    """
+    deployment = VirtualDeployment()
+    name = find_primary(deployment)
+    home = deployment.find_home(name)
+    begun = deployment.execute(home, "BEGIN", step=TransactionStep.BEGIN)
+    deployment.cluster.members[name].member.queue.stuck = True
+    answers = [deployment.send(home, deployment.build(f"PUT k{n} 1")) for n in range(60)]
+    deployment.run(50)
+    home.deliver(DrainRequested())
+    deployment.run(50)
+    assert any(answer() is None for answer in answers)
+    home.deliver(DrainExpired())
+    deployment.run(10)
+    found = [answer() for answer in answers]
+    assert {one.outcome for one in found if one is not None} == {Outcome.NOT_RUN, Outcome.UNKNOWN}
+    assert None not in found
+    commit = deployment.execute(
+        home, "COMMIT", transaction=begun.transaction, step=TransactionStep.COMMIT
+    )
+    assert (commit.outcome, commit.code) == (Outcome.NOT_RUN, Code.DRAINING)
+    deployment.cluster.stop_node(home)
+    deployment.cluster.members[name].member.queue.stuck = False
+    deployment.run(20_000)
+    other = next(host for host in deployment.cluster.nodes if host is not home)
+    for number, one in enumerate(found):
+        if one is not None and one.outcome is Outcome.NOT_RUN:
+            assert deployment.execute(other, f"GET k{number}").result is None
+
+
 def test_answers_equal_those_of_the_naive_baseline() -> None:
     """Guards against results that differ from those of direct access to the primary."""
     results = []
