Report a link to an odd address as one that cannot be opened

A member or node whose host is no name (`a..b`, 300 characters), in a ticket, a roster or the list of VMs, made the task of its link fail: the place of the connection was never given back, messages to that peer were kept and never sent, a control call had no reply. Cause: the resolver raises UnicodeError, a ValueError, which the three places that open connections did not expect. Change: they share one tuple of what a client call raises.

--- a/libs/proxy/burdockrun_proxy/endpoints.py
+++ b/libs/proxy/burdockrun_proxy/endpoints.py
@@ -27,7 +27,7 @@
 )
 from result import Ok
 
-from burdockrun_proxy.streams import StreamWriter
+from burdockrun_proxy.streams import CALL_ERRORS, StreamWriter
 
 OPEN_TIMEOUT_S = 2.0
 
@@ -58,7 +58,7 @@
         try:
             async with asyncio.timeout(OPEN_TIMEOUT_S):
                 socket = await self._session.ws_connect(url, max_msg_size=0)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except CALL_ERRORS as error:
             self._report_closed(connection_id, str(error) or type(error).__name__)
             return
         if connection_id in self._closed_before_open:
@@ -104,7 +104,7 @@
                 if response.status != 200:
                     return None
                 body = await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except CALL_ERRORS:
             return None
         return decode_control_reply(operation, body)
 
--- a/libs/proxy/burdockrun_proxy/peers.py
+++ b/libs/proxy/burdockrun_proxy/peers.py
@@ -6,7 +6,7 @@
 import aiohttp
 from burdockrun_messages import Event, NodeInfo, PeerLost, PeerMessage, encode_message
 
-from burdockrun_proxy.streams import StreamWriter
+from burdockrun_proxy.streams import CALL_ERRORS, StreamWriter
 
 CONNECT_TIMEOUT_S = 1.0
 HEARTBEAT_S = 2.0
@@ -68,7 +68,7 @@
                 socket = await self._session.ws_connect(
                     url, params={"node": self._node.node}, heartbeat=HEARTBEAT_S
                 )
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except CALL_ERRORS:
             self._drop(link)
             return
         link.writer = StreamWriter(socket)
