Drain within the grace period of the present settings

The settings file may change without a signal, and SIGHUP is ignored. If GraceS has become shorter than at the start, a drain goes on beyond it, and SIGKILL cuts what it still serves. Cause: the schedule of a drain was made at the start of the process. Change: GraceS is read again when the process is asked to stop; a file that cannot be read changes nothing.

--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -153,6 +153,10 @@
         self._closing: set[ClientChannel] = set()
         self._started_ms = app.clock.now_ms()
 
+    def set_grace(self, grace_ms: int) -> None:
+        """Set the time from the request to stop until the process is killed."""
+        self._schedule = DrainSchedule(grace_ms)
+
     def start(self) -> None:
         """Start the tasks that follow the store and the members."""
         self._app.events.write(GATEWAY_STARTED, domain=self._entry.domain)
--- a/tests/site/test_start.py
+++ b/tests/site/test_start.py
@@ -15,6 +15,7 @@
 from tests.site.processes import (
     FRONT_PORT,
     PYTHON_PATH,
+    STORE_PORT,
     GatewayProcess,
     build_settings,
     make_host,
@@ -172,6 +173,29 @@
         assert (gateway.stop(), gateway.errors) == (0, "")
 
 
+@pytest.mark.parametrize("is_readable", [True, False])
+def test_a_drain_ends_within_the_grace_period_of_the_present_settings(
+    tmp_path: Path, is_readable: bool
+) -> None:
+    """Guards against SIGKILL in a drain, since the settings have changed without a signal.
+
+    The store accepts connections and answers nothing, so that the drain takes all of its time.
+    """
+    host = make_host()
+    before, after = (30, 6) if is_readable else (6, 6)
+    settings = build_settings(host) + f"[Bounds]\nGraceS = {before}\n"
+    with (
+        socket.create_server((host, STORE_PORT)),
+        start_gateway(tmp_path, host=host, settings=settings.encode()) as gateway,
+    ):
+        gateway.wait_until_started()
+        changed = build_settings(host) + f"[Bounds]\nGraceS = {after}\n" if is_readable else "["
+        gateway.settings_path.write_text(changed)
+        stopped_s = time.monotonic()
+        assert gateway.stop() == 0
+        assert time.monotonic() - stopped_s < after
+
+
 def test_a_stop_ends_the_wait_for_settings(tmp_path: Path) -> None:
     """Guards against a stop that is taken for bad settings while the file is read again."""
     with start_gateway(tmp_path, settings=b"") as gateway:
