--- a/tests/site/test_restarted_member.py
+++ b/tests/site/test_restarted_member.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.site.common import MAX_STALENESS_MS, Client, Deployment, async_deploy, error_of, rows_of
+from tests.site.members import Commit, FakeMember
 from tests.site.test_homes import (
     GATEWAYS,
     MAX_CONNECTIONS,
@@ -16,6 +17,8 @@
 TRANSACTIONS = 10
 # Makes the replicas the faster members for reads.
 PRIMARY_DELAY_S = 0.05
+# Covers several attempts to connect to a member that has gone.
+REUSED_S = 3.0
 
 
 async def async_read_in_transactions(client: Client) -> set[str]:
@@ -107,3 +110,27 @@
         client = await deployment.async_connect("visits", index)
         await async_write(client)
         await async_restart_replicas(deployment, client)
+
+
+async def test_nothing_runs_at_an_address_that_another_member_uses_now() -> None:
+    """Guards against statements of one service at a member of another, which has its address."""
+    async with async_deploy(gateways=1) as deployment:
+        client = await deployment.async_connect("visits")
+        await async_write(client)
+        gone = deployment.members["b"]
+        await gone.async_stop()
+        other = FakeMember("another-service", "x", primary=True)
+        other.port = gone.port
+        # Its log seems to have all that reads require.
+        other.log = [Commit(term=9, number=99, request_id="q1", items={})]
+        deployment.members["a"].delay_s = deployment.members["c"].delay_s = PRIMARY_DELAY_S
+        await other.async_start()
+        try:
+            until = time.monotonic() + REUSED_S
+            while time.monotonic() < until:
+                assert rows_of(await client.async_query("READ ward")) == ["v1"]
+                await async_write(client)
+            assert other.max_open_connections > 0
+            assert (other.executed, other.controls) == ([], [])
+        finally:
+            await other.async_stop()
