Answer a request whose handling fails in a proxy

What callers saw: nothing yet; found in reading again. An error while a proxy handled a request was logged, and its caller waited for an answer that nobody gave. Cause: the node answers a request once its parts have dealt with it, and the driver knew of no other end. Change: the driver answers `unknown`, since the request may have been passed on before the error; a later answer finds no caller any more. Evidence: test_a_request_whose_handling_fails_is_answered fails before (no answer). Result: tests/proxy/test_driver.py and test_links.py: 18 passed.

--- a/libs/proxy/burdockrun_proxy/driver.py
+++ b/libs/proxy/burdockrun_proxy/driver.py
@@ -20,6 +20,7 @@
     ProcessPaused,
     RecordLog,
     RecordMetric,
+    RequestReceived,
     SendAnswer,
     SendExecute,
     SendPeer,
@@ -37,6 +38,7 @@
     TICK_INTERVAL_MS,
 )
 from burdockrun_proxy.endpoints import EndpointLinks
+from burdockrun_proxy.models import answer_unknown
 from burdockrun_proxy.node import ProxyNode
 from burdockrun_proxy.peers import PeerLinks
 
@@ -115,7 +117,11 @@
             return self.node.handle(event, self._app.clock.now_ms())
         except Exception as error:
             self._report_failure(type(event).__name__, error)
+        if not isinstance(event, RequestReceived):
             return []
+        # The request may have been passed on before the error.
+        answer = answer_unknown(event.request, "unexpected error")
+        return [SendAnswer(caller_id=event.caller_id, answer=answer)]
 
     def _report_failure(self, kind: str, error: BaseException) -> None:
         """Log and count an unexpected error."""
--- a/tests/proxy/test_driver.py
+++ b/tests/proxy/test_driver.py
@@ -11,6 +11,7 @@
 from burdockrun_bench.soak import SESSION_KEY, TICKET_FUNCTIONS
 from burdockrun_fleet import FleetAgent
 from burdockrun_messages import (
+    Access,
     Action,
     DrainExpired,
     DrainRequested,
@@ -18,10 +19,14 @@
     GetKey,
     NodeInfo,
     Outbox,
+    Outcome,
     PeerLost,
     PlatformReply,
     RecordLog,
+    RequestReceived,
     Started,
+    StatementAnswer,
+    StatementRequest,
     TimerFired,
 )
 from burdockrun_proxy import ProxyNode
@@ -95,6 +100,28 @@
     assert "PeerLost" in [one["kind"] for one in failures]
 
 
+async def test_a_request_whose_handling_fails_is_answered() -> None:
+    """Guards against a caller that waits for an answer which nobody will give."""
+    request = StatementRequest(
+        request_id="q1",
+        account="bayern",
+        database="wendedb",
+        statement="PUT a 1",
+        access=Access.WRITE,
+    )
+    answers: list[StatementAnswer] = []
+    async with aiohttp.ClientSession() as session:
+        driver = NodeDriver(
+            Application(clock=ManualClock(100_000)),
+            FaultyNode(RequestReceived),  # type: ignore[arg-type]
+            session,
+            FaultyPlatform(),  # type: ignore[arg-type]
+        )
+        caller_id = driver.add_caller(answers.append)
+        driver.dispatch(RequestReceived(caller_id=caller_id, request=request))
+    assert [(one.request_id, one.outcome) for one in answers] == [("q1", Outcome.UNKNOWN)]
+
+
 async def test_a_call_to_the_platform_that_fails_is_answered() -> None:
     """Guards against a part of a node that waits for its reply as long as the process runs."""
     node = FaultyNode(PeerLost)
