--- a/libs/fleet/burdockrun_fleet/tickets.py
+++ b/libs/fleet/burdockrun_fleet/tickets.py
@@ -100,7 +100,7 @@
 
     def receive_shard(self, push: SnapshotPush, now_ms: int) -> bool:
         """Collect the shards of a snapshot; return whether a newer one is complete and loaded."""
-        if push.number <= self.number:
+        if push.number <= self.number or not 0 <= push.shard < push.shards:
             return False
         if self._shards_id != (push.number, push.shards):
             if push.number < self._shards_id[0]:
--- /dev/null
+++ b/tests/proxy/test_borders.py
@@ -0,0 +1,85 @@
+"""Exploration of what other nodes may send to a proxy."""
+
+from collections.abc import Mapping
+from dataclasses import is_dataclass
+from enum import Enum
+from types import UnionType
+from typing import Annotated, Any, Literal, Union, get_args, get_origin, get_type_hints
+
+import pytest
+from burdockrun_messages import (
+    JsonValue,
+    PeerMessage,
+    PeerReceived,
+    TimerFired,
+    decode_message,
+    encode_message,
+)
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from result import Err
+
+from tests.proxy.common import VirtualDeployment
+
+SETTINGS = settings(
+    derandomize=True, deadline=None, max_examples=200, suppress_health_check=list(HealthCheck)
+)
+SIMPLE: dict[Any, st.SearchStrategy[Any]] = {
+    int: st.one_of(st.integers(-3, 8), st.sampled_from([2**31, 2**63, 10**30, -(10**30)])),
+    str: st.one_of(st.sampled_from(["", "é", "wendedb-0", "muc-nord"]), st.text(max_size=8)),
+    bool: st.booleans(),
+    JsonValue: st.one_of(st.none(), st.integers(), st.text(max_size=4)),
+}
+TICK_MS = 50
+MESSAGES_PER_TICK = 10
+
+
+def build_strategy(kind: Any) -> st.SearchStrategy[Any]:
+    """Return a strategy for all values of a type of messages, odd ones too."""
+    if kind in SIMPLE:
+        return SIMPLE[kind]
+    origin, parts = get_origin(kind), get_args(kind)
+    if origin is Annotated:
+        return build_strategy(parts[0])
+    if origin is Literal:
+        return st.sampled_from(parts)
+    if origin in {Union, UnionType}:
+        return st.one_of(*map(build_strategy, parts))
+    if origin is tuple:
+        return st.lists(build_strategy(parts[0]), max_size=3).map(tuple)
+    if origin in {dict, Mapping}:
+        return st.dictionaries(*map(build_strategy, parts), max_size=3)
+    if isinstance(kind, type) and is_dataclass(kind):
+        hints = get_type_hints(kind, include_extras=True)
+        return st.builds(kind, **{name: build_strategy(hint) for name, hint in hints.items()})
+    if isinstance(kind, type) and issubclass(kind, Enum):
+        return st.sampled_from(kind)
+    return st.none() if kind in {None, type(None)} else st.nothing()
+
+
+@pytest.fixture(scope="module")
+def deployment() -> VirtualDeployment:
+    """Return a deployment that has been running for a while."""
+    return VirtualDeployment()
+
+
+@pytest.mark.parametrize("kind", get_args(PeerMessage), ids=lambda kind: kind.__name__)
+def test_any_message_of_a_peer_is_handled(deployment: VirtualDeployment, kind: Any) -> None:
+    """Guards against a message of another version, or a damaged one, that stops a proxy."""
+    node = deployment.cluster.nodes[0].node
+    seen: list[Any] = []
+
+    @SETTINGS
+    @given(build_strategy(kind), SIMPLE[str])
+    def explore(message: Any, peer: str) -> None:
+        decoded = decode_message(kind, encode_message(message))
+        if isinstance(decoded, Err):
+            return
+        seen.append(decoded.ok_value)
+        now_ms = deployment.cluster.loop.now_ms + TICK_MS * len(seen)
+        node.handle(PeerReceived(peer=peer, message=decoded.ok_value), now_ms)
+        if len(seen) % MESSAGES_PER_TICK == 0:
+            node.handle(TimerFired(), now_ms)
+
+    explore()
+    assert seen
