--- a/libs/proxy/burdockrun_proxy/endpoints.py
+++ b/libs/proxy/burdockrun_proxy/endpoints.py
@@ -27,7 +27,8 @@
 )
 from result import Ok
 
-from burdockrun_proxy.streams import CALL_ERRORS, StreamWriter
+from burdockrun_proxy.errors import CALL_ERRORS
+from burdockrun_proxy.streams import StreamWriter
 
 OPEN_TIMEOUT_S = 2.0
 
--- a/libs/proxy/burdockrun_proxy/peers.py
+++ b/libs/proxy/burdockrun_proxy/peers.py
@@ -6,7 +6,8 @@
 import aiohttp
 from burdockrun_messages import Event, NodeInfo, PeerLost, PeerMessage, encode_message
 
-from burdockrun_proxy.streams import CALL_ERRORS, StreamWriter
+from burdockrun_proxy.errors import CALL_ERRORS
+from burdockrun_proxy.streams import StreamWriter
 
 CONNECT_TIMEOUT_S = 1.0
 HEARTBEAT_S = 2.0
--- a/libs/proxy/burdockrun_proxy/streams.py
+++ b/libs/proxy/burdockrun_proxy/streams.py
@@ -1,16 +1,12 @@
 """Ordered, non-blocking sending on one WebSocket."""
 
 import asyncio
-from typing import Final
 
 import aiohttp
 from aiohttp import web
 
 Socket = aiohttp.ClientWebSocketResponse | web.WebSocketResponse
 
-# What a client call raises if it fails; ValueError for an address that is none.
-CALL_ERRORS: Final = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
-
 
 class StreamWriter:
     """Sends queued text frames in order from one task."""
