Give programs of the tests the default action of SIGHUP

Each of the two processes that were started first ended with the signal. nohup ignores SIGHUP, and programs inherit that; the test waits until the program ignores SIGHUP, which was so from the start, and sent its signal before the first line of the program. Change: the test run sets the default action of SIGHUP before it starts programs. The checks stay as they are; the tests of SIGHUP itself are stricter in such a run.

--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,9 @@
-"""Expects the tests that KNOWN-RED.txt lists to fail, and prints them in the report."""
+"""Set-up of a test run: signals, and the tests that KNOWN-RED.txt lists.
 
+Those are expected to fail, and are printed in the report.
+"""
+
+import signal
 from pathlib import Path
 
 import pytest
@@ -19,6 +23,14 @@
     return {entry[0].strip(): entry[-1].strip() for entry in entries}
 
 
+def pytest_configure() -> None:
+    """Let SIGHUP have its default action in programs that tests start, also in a run by nohup.
+
+    They would inherit that it is ignored, which the tests of signals take for the program's doing.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
+
 def pytest_report_header() -> list[str]:
     """Print the known failures in the header of each run."""
     return [f"known red: {test}: {text}" for test, text in read_known_red().items()]
