Log and count what a member refuses of the setup of a connection

Cause: a refused PREPARE, SET or RESET, and a prepared name that a member does not know, left no trace but a retried statement. Change: event 1365 and the counter setup_refusals, from what a sequence concludes. Result: the new test fails without the call in exchange.py (no event). No decision changes.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -174,6 +174,7 @@
 LOGGED_LIMIT_FACTOR: Final = 1.5
 QUEUE_EVENT_INTERVAL_MS: Final = 5_000
 CLIENTS_LOG_INTERVAL_MS: Final = 5_000
+SETUP_LOG_INTERVAL_MS: Final = 5_000
 QUEUE_GAUGE_INTERVAL_MS: Final = 1_000
 
 # Longest wait for a connection before a request is refused, as a share of the route's target.
@@ -522,6 +523,12 @@
     Level.WARNING,
     "Clients are sending more unfinished messages than this node may hold; one was refused.",
 )
+SETUP_REFUSED = define_event(
+    1365,
+    "member_setup_refused",
+    Level.WARNING,
+    "A member has refused a statement that sets up a shared connection, or a prepared name there.",
+)
 MEMBER_STARTED_AGAIN = define_event(
     1380,
     "member_started_again",
--- a/libs/gateway/burdockrun_gateway/exchange.py
+++ b/libs/gateway/burdockrun_gateway/exchange.py
@@ -105,6 +105,7 @@
             sequence.add_answers(answers)
             attempt.may_have_run = sequence.may_have_run
         conclusion = sequence.conclude()
+        pool.note_conclusion(conclusion)
         if not conclusion.keeps_connection:
             self._discard(pool, link)
         return conclusion.answers[-1]
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -10,6 +10,7 @@
 from burdockrun_groups import ConnectionPlan, MemberEntry, MemberLoad, NodeEntry
 from burdockrun_statements import (
     Answer,
+    Conclusion,
     MemberStatus,
     SessionState,
     Statement,
@@ -35,6 +36,8 @@
     MEMBER_STARTED_AGAIN,
     OTHER_DOMAIN_DELAY_MS,
     RECONNECT_DELAY_MS,
+    SETUP_LOG_INTERVAL_MS,
+    SETUP_REFUSED,
     SILENCE_MS,
     SINGLE_CONNECTION_MS,
     STATUS_TIMEOUT_MS,
@@ -399,6 +402,24 @@
         home.note_released(link)
         home.run()
 
+    def note_conclusion(self, conclusion: Conclusion) -> None:
+        """Log and count what the member did not take of the setup of a connection.
+
+        A refused BEGIN is no fault of the setup: the member may have lost the lead.
+        """
+        kind, refusal = conclusion.refused, conclusion.refusal
+        if kind is None or kind is StatementKind.BEGIN or refusal is None:
+            return
+        self._app.measurements.count("setup_refusals", kind=kind.value, error=refusal.value)
+        self._app.events.write_spaced(
+            SETUP_REFUSED,
+            self.entry.id,
+            SETUP_LOG_INTERVAL_MS,
+            member=self.entry.id,
+            kind=kind.value,
+            error=refusal.value,
+        )
+
     def discard(self, link: MemberLink) -> None:
         """Close a connection that must not be used again."""
         sent_ms = link.oldest_unanswered_ms()
--- a/libs/gateway/burdockrun_gateway/sharing.py
+++ b/libs/gateway/burdockrun_gateway/sharing.py
@@ -150,6 +150,7 @@
                 # `close` has already released or discarded the connection.
                 return
         conclusion = sequence.conclude()
+        self._pool.note_conclusion(conclusion)
         if not conclusion.keeps_connection:
             self._link = None
             self._pool.discard(link)
--- a/libs/statements/burdockrun_statements/sequence.py
+++ b/libs/statements/burdockrun_statements/sequence.py
@@ -33,10 +33,15 @@
     """Answers to the statements behind the setup, and whether the connection can be kept.
 
     A connection that cannot be kept must be closed, which rolls back its open transaction.
+    `refused` is the kind of the setup statement or BEGIN that did not succeed, or EXECUTE if the
+    member does not know the prepared statement; `refusal` is its code, None for a BEGIN that opened
+    nothing.
     """
 
     answers: tuple[Answer, ...]
     keeps_connection: bool = True
+    refused: StatementKind | None = None
+    refusal: ErrorCode | None = None
 
 
 class StatementSequence:
@@ -97,12 +102,20 @@
     def conclude(self) -> Conclusion:
         """Return what is certain about the statements once all that was sent has been answered."""
         refused = self._find_refused()
+        if refused is not None:
+            kind, refusal = refused
+            conclusion = self._conclude_refused(kind, refusal)
+            return replace(conclusion, refused=kind, refusal=refusal.error)
         last = self._answers[-1]
-        if refused is None:
-            if self._begin is not None and self._ran_outside(last):
-                return self._conclude_unwanted_run(Answer(state=last.state, error=ErrorCode.BUSY))
-            return Conclusion(answers=tuple(self._answers[len(self._setup) :]))
-        kind, refusal = refused
+        if self._begin is not None and self._ran_outside(last):
+            return self._conclude_unwanted_run(Answer(state=last.state, error=ErrorCode.BUSY))
+        conclusion = Conclusion(answers=tuple(self._answers[len(self._setup) :]))
+        if last.error is ErrorCode.UNKNOWN_NAME:
+            return replace(conclusion, refused=self._statements[-1].kind, refusal=last.error)
+        return conclusion
+
+    def _conclude_refused(self, kind: StatementKind, refusal: Answer) -> Conclusion:
+        """Conclude when a setup statement or BEGIN did not succeed."""
         if not self.may_have_run:
             keeps = kind is StatementKind.BEGIN and refusal.error is not None
             return self._refuse(refusal, keeps_connection=keeps)
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -12,6 +12,7 @@
 from burdockrun_gateway.ports import AcquireFault
 from burdockrun_statements import (
     Answer,
+    Conclusion,
     ErrorCode,
     SessionState,
     Statement,
@@ -72,6 +73,9 @@
         """Take the connection back."""
         self.released.append(link)
 
+    def note_conclusion(self, conclusion: Conclusion) -> None:
+        """Ignore what the member did not take."""
+
     def discard(self, link: MemberLink) -> None:
         """Close the connection."""
         self.discarded.append(link)
--- a/tests/site/test_refused_setup.py
+++ b/tests/site/test_refused_setup.py
@@ -1,10 +1,12 @@
 """Tests of statements behind a BEGIN or a setup statement that a member refuses."""
 
+import logging
 from collections import Counter
 
 import pytest
+from burdockrun_gateway.const import SETUP_REFUSED
 
-from tests.site.common import async_deploy, error_of, rows_of
+from tests.site.common import async_deploy, error_of, read_events, rows_of
 
 # Codes with which a client is told that nothing is kept.
 PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY"}
@@ -74,6 +76,20 @@
         assert len(deployment.members["a"].log) == int(not error_of(answer))
 
 
+async def test_a_refused_prepare_is_logged_and_counted(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against a member that drops what was prepared there without anybody seeing it."""
+    caplog.set_level(logging.INFO)
+    async with async_deploy(gateways=1) as deployment:
+        client = await deployment.async_connect("urgent")
+        assert error_of(await client.async_query("PREPARE p1 READ q2c")) == ""
+        deployment.members["a"].refuse_next["PREPARE"] = "FAILED"
+        await client.async_query("EXECUTE p1 ward")
+        (event,) = read_events(caplog, SETUP_REFUSED.number)
+        assert (event["member"], event["kind"], event["error"]) == ("a", "prepare", "failed")
+        counters = deployment.gateways[0]._app.measurements.counters["setup_refusals"]
+        assert counters == {(("kind", "prepare"), ("error", "failed")): 1}
+
+
 @pytest.mark.parametrize("code", ["BUSY", "FAILED", "READONLY", "INDOUBT"])
 async def test_no_write_runs_behind_a_begin_that_a_primary_refuses(code: str) -> None:
     """Guards against a write that commits by itself, at a member that leads all the while."""
