Show prepared statements that members run as others

The stand-ins of the tests kept only the access of a prepared statement and joined what they had split at every blank, so that no test saw which shape, item or data a member ran. Change: the stand-ins split a query as the contract says (only the last field may have blanks) and keep the shape; tests with shapes and texts of all kinds, directly and through a home. The fault soak reads runs from there, and takes data that no client sent for older than all, in place of ending.

--- a/script/fault_soak/checks.py
+++ b/script/fault_soak/checks.py
@@ -364,7 +364,9 @@
 
 
 def _number(data: str) -> int:
-    return -1 if data == "none" else int(data.rpartition(".")[2])
+    """Return the number in the data of a write, -1 for data that no client sent."""
+    number = data.rpartition(".")[2]
+    return int(number) if number.isdecimal() else -1
 
 
 @check
--- a/script/fault_soak/members.py
+++ b/script/fault_soak/members.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from script.fault_soak.journal import Arrival, Committed, Journal, Lead, Run
-from tests.site.members import Commit, FakeMember, Session
+from tests.site.members import Commit, FakeMember, Received, Session
 from tests.site.store import FakeStore
 
 BEAT_S = 1.2
@@ -36,8 +36,8 @@
         self._born_ms = 0
         self._sequence = 0
         self._beats: asyncio.Task[None] | None = None
-        # Connection and shapes of prepared statements of each session.
-        self._places: dict[int, tuple[int, dict[str, str]]] = {}
+        # Connection of each session.
+        self._places: dict[int, int] = {}
 
     async def async_start(self) -> None:
         """Listen and register."""
@@ -180,7 +180,7 @@
             return
         writer.write(f"READY I {self.position()}\r\n".encode())
         session = Session(caller=fields[2])
-        self._places[id(session)] = (next(_connections), {})
+        self._places[id(session)] = next(_connections)
         try:
             while await self._async_answer(session, reader, writer):
                 pass
@@ -237,31 +237,25 @@
         ready = f"READY {session.state} {self.position()}"
         writer.write("".join(f"{part}\r\n" for part in [*answer, ready]).encode())
 
-    def _execute_statement(
-        self, session: Session, request_id: str, word: str, fields: list[str]
-    ) -> list[str]:
-        if word == "PREPARE":
-            self._places[id(session)][1][fields[0]] = fields[2]
-        return super()._execute_statement(session, request_id, word, fields)
-
     def _execute_data_statement(
-        self, session: Session, request_id: str, word: str, fields: list[str]
+        self, session: Session, request_id: str, statement: Received
     ) -> list[str]:
-        connection, shapes = self._places[id(session)]
         state, ran = session.state, len(self.executed)
-        answer = super()._execute_data_statement(session, request_id, word, fields)
+        answer = super()._execute_data_statement(session, request_id, statement)
         if len(self.executed) > ran:
+            executed = self.executed[-1]
             self.executed.clear()
+            fields = (statement.word, statement.item, statement.data)
             self._journal.runs.append(
                 Run(
                     at_s=self._journal.now(),
                     request_id=request_id,
                     member=self.id,
-                    connection=connection,
-                    text=" ".join([word, *(fields[1:] if word == "EXECUTE" else fields)]),
+                    connection=self._places[id(session)],
+                    text=" ".join(filter(None, fields)),
                     state=state,
                     values=tuple(sorted(session.values.items())),
-                    shape=shapes.get(fields[0], "") if word == "EXECUTE" else "",
+                    shape=executed.shape,
                     rows=[line for line in answer if line.startswith("ROW")],
                 )
             )
--- /dev/null
+++ b/tests/site/test_statement_texts.py
@@ -0,0 +1,117 @@
+"""Tests of what members run for the texts that clients send.
+
+The contract allows any text in the last field of a message, and anything but blanks in the others.
+The member of these tests splits what it gets as the contract says, not as a gateway builds it.
+"""
+
+from random import Random
+
+import pytest
+
+from tests.site.common import Client, Deployment, async_deploy, error_of
+from tests.site.members import ExecutedStatement, read_text
+
+SHARED_CONNECTIONS = 4  # connections to each member, so that sessions share them
+NAMES = ("s1", "READ", "WRITE", "-", "w_q1", "r_q1", "p1", "1", "AFTER", "\t", "a\nb", "z\u00fcg")
+TEXTS = (
+    *("q1", "q1 READ ii", "q1 WRITE ii", "ii READ q1 READ ii", "qd WRITE htuhk", "READ q1"),
+    *("WRITE q1", " q1", "q1 ", "q1  q1", "-", "AFTER 1.1 READ ward", "p1", "RESET", "a\rb"),
+    *("QUERY q1 WRITE ward v1", "x" * 2_000, "z\u00fcg \u00e4", "RANK 0 100 1", "1 READ q1"),
+)
+
+
+def list_runs(deployment: Deployment) -> dict[str, ExecutedStatement]:
+    """Return what members have run, by the ids of the requests."""
+    return {
+        run.request_id: run for member in deployment.members.values() for run in member.executed
+    }
+
+
+@pytest.mark.parametrize("gateways", [1, 3])
+async def test_shapes_that_begin_alike_run_as_their_clients_prepared_them(gateways: int) -> None:
+    """Guards against a shape whose blanks are read as the end of the name of a statement."""
+    shapes = [("READ", "q1"), ("READ", "q1 READ ii"), ("WRITE", "qd WRITE htuhk"), ("WRITE", "qd")]
+    async with async_deploy(gateways, SHARED_CONNECTIONS) as deployment:
+        clients: list[Client] = []
+        for access, shape in shapes:
+            client = await deployment.async_connect("urgent", len(clients) % gateways)
+            assert error_of(await client.async_query(f"PREPARE s1 {access} {shape}")) == ""
+            clients.append(client)
+        for _ in range(3):
+            for client, (access, shape) in zip(clients, shapes, strict=True):
+                item = "ward" if access == "READ" else "ward v1"
+                await client.async_query(f"EXECUTE s1 {item}")
+                run = list_runs(deployment)[client.last_id]
+                assert (run.text, run.shape) == (access, shape)
+                assert (run.item, run.data) == ("ward", "v1" if access == "WRITE" else None)
+
+
+class RandomSession:
+    """Session that sends random statements, with what a member has to run for each of them."""
+
+    def __init__(self, client: Client, rng: Random) -> None:
+        self.client, self._rng = client, rng
+        self._values: dict[str, str] = {}
+        self._shapes: dict[str, tuple[str, str]] = {}
+
+    async def async_act(self) -> ExecutedStatement | None:
+        """Send a statement; return what a member has to run for it, None if it needs none."""
+        rng = self._rng
+        name, text, item = rng.choice(NAMES), rng.choice(TEXTS), rng.choice(NAMES)
+        access = rng.choice(["READ", "WRITE"])
+        kind = rng.choice(["SET", "PREPARE", "PREPARE", "EXECUTE", "EXECUTE", "EXECUTE", access])
+        if kind == "EXECUTE" and self._shapes:
+            name = rng.choice(list(self._shapes))
+            access, shape = self._shapes[name]
+            operand = f"{item} {text}" if access == "WRITE" else item
+            return await self._async_run(f"EXECUTE {name} {operand}", access, shape)
+        if kind in {"READ", "WRITE"}:
+            operand = f"{item} {text}" if kind == "WRITE" else text.strip() or item
+            return await self._async_run(f"{kind} {operand}", kind, "")
+        setup = f"SET {name} {text}" if kind == "SET" else f"PREPARE {name} {access} {text}"
+        assert error_of(await self.client.async_query(setup)) == ""
+        if kind == "SET":
+            self._values[name] = text
+        else:
+            self._shapes[name] = access, text
+        return None
+
+    async def _async_run(self, text: str, access: str, shape: str) -> ExecutedStatement:
+        assert error_of(await self.client.async_query(text)) == "", text
+        sent = read_text(text)
+        return ExecutedStatement(
+            request_id=self.client.last_id,
+            text=access,
+            item=sent.item,
+            data=sent.data,
+            shape=shape,
+            values=tuple(sorted(self._values.items())),
+            state="I",
+        )
+
+
+@pytest.mark.parametrize("gateways", [1, 3])
+@pytest.mark.parametrize("seed", range(3))
+async def test_statements_of_any_text_run_as_they_were_sent(seed: int, gateways: int) -> None:
+    """Guards against a field that a member reads as another one, or as another statement."""
+    rng = Random(seed)
+    async with async_deploy(gateways, SHARED_CONNECTIONS) as deployment:
+        sessions = [
+            RandomSession(await deployment.async_connect("urgent", index % gateways), rng)
+            for index in range(6)
+        ]
+        sent = [
+            statement
+            for _ in range(120)
+            if (statement := await rng.choice(sessions).async_act()) is not None
+        ]
+        runs = list_runs(deployment)
+        ran = {one.request_id: runs.get(one.request_id) for one in sent}
+        for one in sent:
+            run = ran[one.request_id]
+            assert run is not None
+            assert (run.text, run.shape, run.item, run.data) == (
+                *(one.text, one.shape, one.item, one.data),
+            )
+            assert (run.values, run.state) == (one.values, one.state)
+        assert len(runs) == len(sent)
