Name prepared statements at members by one field

Cause: the name under which a shape is prepared on a member connection was its text behind 'w_' or 'r_'. The contract allows blanks in a shape, the last field of PREPARE, but not in a name. A member read 'PREPARE r_q1 READ ii READ q1 READ ii' as the shape 'ii READ q1 READ ii' for the name 'r_q1', which sessions with the shape 'q1' share, and 'EXECUTE w_qd WRITE htuhk 7 x' as an EXECUTE of 'w_qd' on the item 'WRITE'. Homes took names of other nodes over to their own connections. Callers saw: a success for a read or write of another shape, item or data; UNKNOWN for a name whose PREPARE had succeeded; INDOUBT. Change: the name is the shape in percent-encoding, or a digest of a long one. It stays a function of the shape, so that a name on a connection cannot come to mean another one. A home gives the statements of other nodes the names of its own connections, and drops a connection that executes what it has not prepared. The clients of the fault soak use such shapes.

--- a/libs/gateway/burdockrun_gateway/sharing.py
+++ b/libs/gateway/burdockrun_gateway/sharing.py
@@ -14,6 +14,7 @@
     Statement,
     StatementKind,
     StatementSequence,
+    name_shape,
     plan_setup,
 )
 from result import Err, Ok, Result
@@ -129,6 +130,9 @@
         if self._link is not None and not self._link.may_serve(priority.account):
             # A node may not change the account within a transaction.
             raise LinkLostError
+        if not self._knows_names(statements):
+            # The connection to the member may have the name from another session.
+            raise LinkLostError
         if self._link is None and statements[0].kind is StatementKind.ROLLBACK:
             self._on_answer(Answer(state=IDLE))
             return
@@ -180,16 +184,24 @@
         return acquired
 
     def _plan_sequence(self, link: MemberLink, statements: list[Statement]) -> StatementSequence:
+        """Plan statements with the setup for them; names of the other node become those here."""
         setup: list[Statement] = []
+        named: list[Statement] = []
         has_effect = False
         for statement in statements:
             shape = None
             if statement.kind is StatementKind.EXECUTE:
-                shape = self._session.prepared.get(statement.name)
+                shape = self._session.prepared[statement.name]
             setup += plan_setup(link.state, self._session, shape)
             is_write = statement.kind in _EFFECT_KINDS or (shape is not None and shape.writes)
             has_effect = has_effect or is_write
-        return StatementSequence(setup, statements, has_effect=has_effect)
+            named.append(statement if shape is None else replace(statement, name=name_shape(shape)))
+        return StatementSequence(setup, named, has_effect=has_effect)
+
+    def _knows_names(self, statements: Iterable[Statement]) -> bool:
+        """Return whether the other node has prepared what it executes."""
+        executed = (one.name for one in statements if one.kind is StatementKind.EXECUTE)
+        return all(name in self._session.prepared for name in executed)
 
 
 def _classify(statements: Sequence[Statement], priority: RequestPriority) -> RequestPriority:
--- a/libs/statements/burdockrun_statements/session.py
+++ b/libs/statements/burdockrun_statements/session.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from hashlib import blake2b
 from typing import Final
+from urllib.parse import quote
 
 from burdockrun_base import LogPosition
 
@@ -10,6 +12,9 @@
 
 # Memory of a value or a prepared statement beside its name and text.
 ENTRY_BYTES: Final = 256
+# Longer names are replaced by a digest, so that a name adds little to a message.
+MAX_NAME_LENGTH: Final = 64
+_DIGEST_BYTES: Final = 20
 
 
 class Applied(Enum):
@@ -95,11 +100,19 @@
     """Return the name under which a shape is prepared on member connections.
 
     Sessions with the same shape share it, so the names that clients choose never collide there.
+    Different shapes have different names, of letters, digits and `_.-~%#` only: a shape may have
+    blanks, which would end the name.
 
     >>> name_shape(PreparedShape(writes=True, shape="q2c"))
     'w_q2c'
+    >>> name_shape(PreparedShape(writes=False, shape="q1 READ q2"))
+    'r_q1%20READ%20q2'
     """
-    return f"{'w' if shape.writes else 'r'}_{shape.shape}"
+    name = quote(shape.shape, safe="")
+    if len(name) > MAX_NAME_LENGTH:
+        # `quote` returns no number sign.
+        name = f"#{blake2b(shape.shape.encode(), digest_size=_DIGEST_BYTES).hexdigest()}"
+    return f"{'w' if shape.writes else 'r'}_{name}"
 
 
 def plan_setup(
--- a/script/fault_soak/clients.py
+++ b/script/fault_soak/clients.py
@@ -13,7 +13,9 @@
 
 CONNECT_S: Final = 2.0
 DEADLINE_S: Final = 3.0
-SHAPES: Final = ("q1a", "q2b")
+# Shapes of a read and a write; several begin with another one, or hold words of the protocol.
+READ_SHAPES: Final = ("q1a", "q1a READ ii", "q1a WRITE ii", " q1a", "READ q1a")
+WRITE_SHAPES: Final = ("q1a", "q2b", "q2b WRITE ii", "q2b  ", "WRITE q2b READ q1a")
 
 SessionKind = Callable[["Session"], Coroutine[Any, Any, None]]
 SESSION_KINDS: dict[str, tuple[SessionKind, int]] = {}
@@ -43,6 +45,8 @@
         self.kind = DATABASES[database]
         self.node: GatewayProcess | None = None
         self.values: dict[str, str] = {}
+        # Shapes of the prepared read and the prepared write.
+        self.shapes = ("", "")
         self.state = "I"
         self.transaction: Request | None = None
         self._opened = 0
@@ -267,7 +271,9 @@
     """Use session values and prepared statements."""
     if not session.is_open:
         await session.async_connect()
-        for text in ("SET zone z", f"PREPARE r READ {SHAPES[0]}", f"PREPARE w WRITE {SHAPES[1]}"):
+        session.shapes = random.choice(READ_SHAPES), random.choice(WRITE_SHAPES)
+        reads, writes = session.shapes
+        for text in ("SET zone z", f"PREPARE r READ {reads}", f"PREPARE w WRITE {writes}"):
             if not (await session.async_send(session.build(text))).succeeded:
                 raise ClosedError
             if text.startswith("SET"):
@@ -280,9 +286,9 @@
     if session.kind != "bounded" and random.random() < 0.3:
         one = session.build_write(choose_item(session))
         one.text = one.text.replace("WRITE", "EXECUTE w")
-        one.shape = SHAPES[1]
+        one.shape = session.shapes[1]
     else:
-        one = session.build(f"EXECUTE r {choose_item(session)}", shape=SHAPES[0])
+        one = session.build(f"EXECUTE r {choose_item(session)}", shape=session.shapes[0])
     await session.async_send(one)
     await asyncio.sleep(random.choice([0.0, 0.01, 0.2]))
 
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -26,6 +26,7 @@
 READ = Statement(kind=StatementKind.READ, request_id="q2", name="ward")
 SET = Statement(kind=StatementKind.SET, request_id="q3", name="zone", argument="nbg")
 WRITE = Statement(kind=StatementKind.WRITE, request_id="q4", name="ward", argument="v1")
+EXECUTE = Statement(kind=StatementKind.EXECUTE, request_id="q5", name="r_q1", argument="ward")
 ROLLBACK = Statement(kind=StatementKind.ROLLBACK)
 IDLE = Answer(state=TransactionState.IDLE)
 OPEN = Answer(state=TransactionState.OPEN)
@@ -93,6 +94,10 @@
     )
 
 
+def _fail_on_answer(answer: Answer) -> None:
+    raise AssertionError(answer)
+
+
 def _raise(error: Exception) -> None:
     raise error
 
@@ -121,6 +126,18 @@
     assert last is IDLE or pool.member_connection.sent[-1] is ROLLBACK.kind or pool.discarded
 
 
+async def test_a_name_that_the_other_node_has_not_prepared_runs_nothing() -> None:
+    """Guards against a name that the connection to the member has from another session."""
+    pool, lost = FakePool(), []  # type: tuple[FakePool, list[bool]]
+    shared = SharedConnection(
+        pool, _fail_on_answer, lambda: lost.append(True), on_error=_raise  # type: ignore[arg-type]
+    )
+    shared.handle([EXECUTE], PRIORITY)
+    await asyncio.sleep(0.01)
+    assert pool.member_connection.sent == []
+    assert lost == [True]
+
+
 async def test_statements_that_wait_at_the_member_are_discarded_when_their_node_closes() -> None:
     """Guards against a statement that runs after its node has answered that it did not."""
     pool, answers = FakePool(), []  # type: tuple[FakePool, list[Answer]]
--- a/tests/statements/test_session.py
+++ b/tests/statements/test_session.py
@@ -1,5 +1,7 @@
 """Tests of client sessions on shared member connections."""
 
+import re
+
 from burdockrun_statements import (
     Applied,
     ConnectionState,
@@ -7,8 +9,20 @@
     SessionState,
     Statement,
     StatementKind,
+    name_shape,
     plan_setup,
 )
+from hypothesis import given
+from hypothesis import strategies as st
+
+SHAPES = st.builds(
+    PreparedShape,
+    writes=st.booleans(),
+    # Any text of a message, texts that look like names of others, and long ones that begin alike.
+    shape=st.text(st.characters(max_codepoint=0xFF), min_size=1)
+    | st.sampled_from(["q1", "q1 ", "q1 READ ii", "q1%20READ%20ii", "#1", "%231"])
+    | st.integers(100, 110).map(lambda length: "q" * length),
+)
 
 
 def set_value(name: str, value: str, request_id: str = "q1") -> Statement:
@@ -45,6 +59,15 @@
     assert one[0].name != other[0].name
 
 
+@given(SHAPES, SHAPES)
+def test_the_name_of_a_shape_is_one_field_of_its_own(
+    one: PreparedShape, two: PreparedShape
+) -> None:
+    """Guards against a name that a member reads as several fields, or that two shapes share."""
+    assert re.fullmatch(r"[A-Za-z0-9_.~%#-]{3,66}", name_shape(one))
+    assert (name_shape(one) == name_shape(two)) == (one == two)
+
+
 def test_a_shape_is_prepared_again_after_a_reset() -> None:
     """Guards against a prepared name that the member dropped on RESET."""
     connection = ConnectionState()
