Take a prepared name that a member does not know for one that has not run

Cause: a member that has dropped what was prepared on a connection answers EXECUTE with UNKNOWN, which went to the client as it was, though its PREPARE had been acknowledged. The connection stayed in use, so each later use of the name was answered so. Callers saw: UNKNOWN for a name that they had prepared (rule PINNED). Change: the statement has not run; the connection is closed, and the statement is sent again on another one or refused with BUSY. An open transaction fails. Result: four new cases of test_refused_setup.py fail before (UNKNOWN) and pass now.

--- a/libs/statements/burdockrun_statements/sequence.py
+++ b/libs/statements/burdockrun_statements/sequence.py
@@ -109,10 +109,11 @@
         last = self._answers[-1]
         if self._begin is not None and self._ran_outside(last):
             return self._conclude_unwanted_run(Answer(state=last.state, error=ErrorCode.BUSY))
-        conclusion = Conclusion(answers=tuple(self._answers[len(self._setup) :]))
         if last.error is ErrorCode.UNKNOWN_NAME:
+            # The member has dropped what was prepared on the connection.
+            conclusion = self._refuse(last, keeps_connection=False)
             return replace(conclusion, refused=self._statements[-1].kind, refusal=last.error)
-        return conclusion
+        return Conclusion(answers=tuple(self._answers[len(self._setup) :]))
 
     def _conclude_refused(self, kind: StatementKind, refusal: Answer) -> Conclusion:
         """Conclude when a setup statement or BEGIN did not succeed."""
--- a/tests/site/test_refused_setup.py
+++ b/tests/site/test_refused_setup.py
@@ -76,6 +76,30 @@
         assert len(deployment.members["a"].log) == int(not error_of(answer))
 
 
+@pytest.mark.parametrize("gateways", [1, 2])
+@pytest.mark.parametrize("access", ["READ", "WRITE"])
+async def test_a_prepared_statement_that_a_member_has_forgotten_is_prepared_again(
+    access: str, gateways: int
+) -> None:
+    """Guards against UNKNOWN for a name whose preparing was acknowledged to the client."""
+    async with async_deploy(gateways) as deployment:
+        client = await deployment.async_connect("urgent", gateways - 1)
+        assert error_of(await client.async_query(f"PREPARE p1 {access} q2c")) == ""
+        operand = "ward" if access == "READ" else "ward v1"
+        for _ in range(2):
+            assert error_of(await client.async_query(f"EXECUTE p1 {operand}")) == ""
+            deployment.members["a"].refuse_next["EXECUTE"] = "UNKNOWN"
+        assert error_of(await client.async_query("BEGIN")) == ""
+        deployment.members["a"].refuse_next.clear()
+        assert error_of(await client.async_query(f"EXECUTE p1 {operand}")) == ""
+        deployment.members["a"].refuse_next["EXECUTE"] = "UNKNOWN"
+        answer = await client.async_query(f"EXECUTE p1 {operand}")
+        assert error_of(answer) == "BUSY"
+        assert answer[-1].startswith("READY E")
+        assert error_of(await client.async_query("ROLLBACK")) == ""
+        assert error_of(await client.async_query(f"EXECUTE p1 {operand}")) == ""
+
+
 async def test_a_refused_prepare_is_logged_and_counted(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against a member that drops what was prepared there without anybody seeing it."""
     caplog.set_level(logging.INFO)
