Bound what stays prepared on a connection to a member

Change: from 256 KiB on, with 256 bytes counted for each shape beside its texts, the next shape is prepared after a RESET; not inside of a transaction. Result: test_a_connection_that_holds_many_shapes_is_reset_between_transactions fails with the bound taken out (no RESET in 2,000 shapes) and passes.

--- a/libs/gateway/burdockrun_gateway/exchange.py
+++ b/libs/gateway/burdockrun_gateway/exchange.py
@@ -113,7 +113,12 @@
     def _plan_sequence(
         self, attempt: Attempt, pool: MemberPool, link: MemberLink
     ) -> StatementSequence:
-        setup = plan_setup(link.state, self._session, attempt.shape)
+        setup = plan_setup(
+            link.state,
+            self._session,
+            attempt.shape,
+            may_reset=not attempt.in_transaction or attempt.begin is not None,
+        )
         statements = [self._build_statement(attempt, pool, link)]
         if attempt.begin is not None:
             awaited = self._find_awaited_position(attempt, pool, link)
--- a/libs/gateway/burdockrun_gateway/sharing.py
+++ b/libs/gateway/burdockrun_gateway/sharing.py
@@ -136,6 +136,7 @@
         if self._link is None and statements[0].kind is StatementKind.ROLLBACK:
             self._on_answer(Answer(state=IDLE))
             return
+        in_transaction = self._link is not None
         if self._link is None:
             bound = await self._async_bind(statements, priority)
             if isinstance(bound, Err):
@@ -145,7 +146,8 @@
             link = bound.ok_value
         else:
             link = self._link
-        await self._async_send(link, self._plan_sequence(link, statements))
+        sequence = self._plan_sequence(link, statements, in_transaction=in_transaction)
+        await self._async_send(link, sequence)
 
     async def _async_send(self, link: MemberLink, sequence: StatementSequence) -> None:
         while part := sequence.take_sendable():
@@ -183,7 +185,9 @@
             self._link = acquired.ok_value
         return acquired
 
-    def _plan_sequence(self, link: MemberLink, statements: list[Statement]) -> StatementSequence:
+    def _plan_sequence(
+        self, link: MemberLink, statements: list[Statement], *, in_transaction: bool
+    ) -> StatementSequence:
         """Plan statements with the setup for them; names of the other node become those here."""
         setup: list[Statement] = []
         named: list[Statement] = []
@@ -192,7 +196,9 @@
             shape = None
             if statement.kind is StatementKind.EXECUTE:
                 shape = self._session.prepared[statement.name]
-            setup += plan_setup(link.state, self._session, shape)
+            # A reset would clear what was set up for a statement before this one.
+            may_reset = not in_transaction and not setup
+            setup += plan_setup(link.state, self._session, shape, may_reset=may_reset)
             is_write = statement.kind in _EFFECT_KINDS or (shape is not None and shape.writes)
             has_effect = has_effect or is_write
             named.append(statement if shape is None else replace(statement, name=name_shape(shape)))
--- a/libs/statements/burdockrun_statements/session.py
+++ b/libs/statements/burdockrun_statements/session.py
@@ -12,6 +12,8 @@
 
 # Memory of a value or a prepared statement beside its name and text.
 ENTRY_BYTES: Final = 256
+# Prepared statements that a member connection may hold before it is reset for the next one.
+MAX_PREPARED_BYTES: Final = 262_144
 # Longer names are replaced by a digest, so that a name adds little to a message.
 MAX_NAME_LENGTH: Final = 64
 _DIGEST_BYTES: Final = 20
@@ -82,11 +84,18 @@
 
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedShape] = field(default_factory=dict)
+    prepared_bytes: int = 0
 
     def reset(self) -> None:
         """Clear the state, as the member does on RESET."""
         self.values.clear()
         self.prepared.clear()
+        self.prepared_bytes = 0
+
+    def add_prepared(self, name: str, shape: PreparedShape) -> None:
+        """Add a prepared statement."""
+        self.prepared[name] = shape
+        self.prepared_bytes += _count_entry(name, shape.shape)
 
     def count_setup_statements(self, session: SessionState) -> int:
         """Return how many statements set up the connection for `session`."""
@@ -116,14 +125,22 @@
 
 
 def plan_setup(
-    connection: ConnectionState, session: SessionState, shape: PreparedShape | None
+    connection: ConnectionState,
+    session: SessionState,
+    shape: PreparedShape | None,
+    *,
+    may_reset: bool = True,
 ) -> list[Statement]:
     """Return the statements that set up a connection for a session, and update the state of both.
 
-    A connection with values that the session does not have is reset first.
+    A connection with values that the session does not have is reset first. With `may_reset`, so is
+    one that holds many prepared statements and needs another one.
     """
     setup: list[Statement] = []
-    if any(name not in session.values for name in connection.values):
+    is_prepared = shape is None or name_shape(shape) in connection.prepared
+    is_full = connection.prepared_bytes >= MAX_PREPARED_BYTES and may_reset
+    has_foreign_values = any(name not in session.values for name in connection.values)
+    if has_foreign_values or (is_full and not is_prepared):
         setup.append(Statement(kind=StatementKind.RESET))
         connection.reset()
     for name, value in session.values.items():
@@ -137,5 +154,5 @@
         name = name_shape(shape)
         if name not in connection.prepared:
             setup.append(Statement(kind=StatementKind.PREPARE, name=name, shape=shape))
-            connection.prepared[name] = shape
+            connection.add_prepared(name, shape)
     return setup
--- a/tests/statements/test_session.py
+++ b/tests/statements/test_session.py
@@ -2,6 +2,7 @@
 
 import re
 
+import pytest
 from burdockrun_statements import (
     Applied,
     ConnectionState,
@@ -79,6 +80,25 @@
     assert kinds == [StatementKind.RESET, StatementKind.PREPARE]
 
 
+@pytest.mark.parametrize("may_reset", [True, False])
+def test_a_connection_that_holds_many_shapes_is_reset_between_transactions(
+    may_reset: bool,
+) -> None:
+    """Guards against memory, here and at the member, that grows with the shapes of all clients."""
+    connection, session = ConnectionState(), SessionState()
+    session.apply(set_value("zone", "a"))
+    kinds: list[StatementKind] = []
+    for number in range(2_000):
+        shape = PreparedShape(writes=False, shape=f"q{number}")
+        setup = plan_setup(connection, session, shape, may_reset=may_reset)
+        kinds += [statement.kind for statement in setup]
+        assert [one.shape for one in setup if one.kind is StatementKind.PREPARE] == [shape]
+        assert connection.values == session.values
+    assert plan_setup(connection, session, shape) == []
+    assert (StatementKind.RESET in kinds) is may_reset
+    assert not may_reset or len(connection.prepared) < 1_100
+
+
 def test_the_request_id_is_sent_with_the_first_use_of_a_value_only() -> None:
     """Guards against a request that a member counts twice because its id is sent twice."""
     session = SessionState()
