--- a/tests/site/members.py
+++ b/tests/site/members.py
@@ -5,6 +5,7 @@
 
 IDLE, OPEN, FAILED = "I", "T", "E"
 SILENT_S = 30
+MAX_MESSAGE_BYTES = 1_048_576
 
 
 @dataclass(kw_only=True)
@@ -116,7 +117,9 @@
 
     async def async_start(self) -> None:
         """Listen on loopback, after a restart on the same port."""
-        self._server = await asyncio.start_server(self._async_serve, "127.0.0.1", self.port)
+        self._server = await asyncio.start_server(
+            self._async_serve, "127.0.0.1", self.port, limit=MAX_MESSAGE_BYTES
+        )
         self.port = self._server.sockets[0].getsockname()[1]
 
     def stop_listening(self) -> None:
@@ -173,7 +176,7 @@
         self.max_open_connections = max(self.max_open_connections, len(self._writers))
         try:
             await self._async_session(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             pass
         finally:
             self._writers.discard(writer)
--- a/tests/site/test_statement_texts.py
+++ b/tests/site/test_statement_texts.py
@@ -7,6 +7,7 @@
 from random import Random
 
 import pytest
+from burdockrun_site.lines import MAX_ADDED_BYTES, MAX_MESSAGE_BYTES
 
 from tests.site.common import Client, Deployment, async_deploy, error_of
 from tests.site.members import ExecutedStatement, read_text
@@ -115,3 +116,22 @@
             )
             assert (run.values, run.state) == (one.values, one.state)
         assert len(runs) == len(sent)
+
+
+@pytest.mark.parametrize("text", ["READ {}", "PREPARE s2 READ {}", "EXECUTE s1 ward {}"])
+@pytest.mark.parametrize("spare", [0, MAX_ADDED_BYTES])
+async def test_a_message_is_passed_on_whole_or_refused(text: str, spare: int) -> None:
+    """Guards against a message that a longer name or a position makes too long for a member."""
+    async with async_deploy(1) as deployment:
+        client = await deployment.async_connect("visits")
+        for prepared in ("PREPARE s1 WRITE q1 q2", "EXECUTE s1 ward v1"):
+            assert error_of(await client.async_query(prepared)) == ""
+        size = MAX_MESSAGE_BYTES - spare - len(f"QUERY {client.last_id} {text.format('')}") - 1
+        answer = await client.async_query(text.format("x" * size))
+        is_refused = spare == 0
+        assert error_of(answer) == ("MALFORMED" if is_refused else "")
+        assert (client.last_id in list_runs(deployment)) is (not is_refused and "s2" not in text)
+        assert error_of(await client.async_query("EXECUTE s1 ward v1")) == ""
+        if not is_refused and "s2" in text:
+            assert error_of(await client.async_query("EXECUTE s2 ward")) == ""
+            assert len(list_runs(deployment)[client.last_id].shape) == size
