Let the queue of a home know prepared writes

Cause: a home took EXECUTE of a write for a read when it classified what another node sent, so its estimates of reads took in the times of writes. Callers saw: times to come back, and refusals, from a wrong mean; not measured. Change: the shape decides, as at the node of the client. Result: test_the_queue_of_a_home_knows_a_prepared_write[True] fails before and passes.

--- a/libs/gateway/burdockrun_gateway/sharing.py
+++ b/libs/gateway/burdockrun_gateway/sharing.py
@@ -10,6 +10,7 @@
 from burdockrun_statements import (
     CONTROL_KINDS,
     Answer,
+    PreparedShape,
     SessionState,
     Statement,
     StatementKind,
@@ -19,7 +20,7 @@
 )
 from result import Err, Ok, Result
 
-from burdockrun_gateway.attempts import IDLE
+from burdockrun_gateway.attempts import IDLE, is_write
 from burdockrun_gateway.drain import Drain, Verdict
 from burdockrun_gateway.exchange import async_roll_back
 from burdockrun_gateway.links import LinkLostError, MemberLink
@@ -29,7 +30,6 @@
 # Statements that only change the session state. They are answered at once; a connection gets their
 # effect as setup before a later statement that needs it.
 _SESSION_KINDS: Final = frozenset({StatementKind.RESET, StatementKind.SET, StatementKind.PREPARE})
-_EFFECT_KINDS: Final = frozenset({StatementKind.WRITE, StatementKind.COMMIT})
 _CLOSED: Final = AcquireFault(reason="the shared connection is closed")
 _STOPPING: Final = AcquireFault(reason="the home is stopping")
 
@@ -174,7 +174,7 @@
             return Err(_STOPPING)
         self._is_binding = True
         try:
-            classified = _classify(statements, priority)
+            classified = self._classify(statements, priority)
             acquired = await self._pool.async_acquire(classified, self._session)
         finally:
             self._is_binding = False
@@ -193,31 +193,35 @@
         named: list[Statement] = []
         has_effect = False
         for statement in statements:
-            shape = None
-            if statement.kind is StatementKind.EXECUTE:
-                shape = self._session.prepared[statement.name]
+            shape = self._find_shape(statement)
             # A reset would clear what was set up for a statement before this one.
             may_reset = not in_transaction and not setup
             setup += plan_setup(link.state, self._session, shape, may_reset=may_reset)
-            is_write = statement.kind in _EFFECT_KINDS or (shape is not None and shape.writes)
-            has_effect = has_effect or is_write
+            is_commit = statement.kind is StatementKind.COMMIT
+            has_effect = has_effect or is_commit or is_write(statement, shape)
             named.append(statement if shape is None else replace(statement, name=name_shape(shape)))
         return StatementSequence(setup, named, has_effect=has_effect)
 
+    def _classify(
+        self, statements: Sequence[Statement], priority: RequestPriority
+    ) -> RequestPriority:
+        """Return the priority of statements with what the queue of the home has to know of them."""
+        if statements[0].kind in CONTROL_KINDS:
+            return replace(priority, rank=-1)
+        begins = statements[0].kind is StatementKind.BEGIN
+        writes = any(is_write(one, self._find_shape(one)) for one in statements)
+        return replace(priority, begins=begins, writes=writes) if begins or writes else priority
+
+    def _find_shape(self, statement: Statement) -> PreparedShape | None:
+        if statement.kind is not StatementKind.EXECUTE:
+            return None
+        return self._session.prepared[statement.name]
+
     def _knows_names(self, statements: Iterable[Statement]) -> bool:
         """Return whether the other node has prepared what it executes."""
         executed = (one.name for one in statements if one.kind is StatementKind.EXECUTE)
         return all(name in self._session.prepared for name in executed)
 
 
-def _classify(statements: Sequence[Statement], priority: RequestPriority) -> RequestPriority:
-    """Return the priority of statements with what the queue of the home has to know of them."""
-    if statements[0].kind in CONTROL_KINDS:
-        return replace(priority, rank=-1)
-    begins = statements[0].kind is StatementKind.BEGIN
-    writes = any(one.kind is StatementKind.WRITE for one in statements)
-    return replace(priority, begins=begins, writes=writes) if begins or writes else priority
-
-
 def _build_refusal(fault: AcquireFault) -> Answer:
     return Answer(state=IDLE, error=fault.code, detail=fault.reason, retry_ms=fault.retry_ms)
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -14,6 +14,7 @@
     Answer,
     Conclusion,
     ErrorCode,
+    PreparedShape,
     SessionState,
     Statement,
     StatementKind,
@@ -61,11 +62,13 @@
         self.discarded: list[MemberLink] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.available = True
+        self.priorities: list[RequestPriority] = []
 
     async def async_acquire(
         self, priority: RequestPriority, session: SessionState
     ) -> Result[MemberLink, AcquireFault]:
         """Return the connection."""
+        self.priorities.append(priority)
         if self.available:
             return Ok(self.link)
         return Err(AcquireFault(reason="no connection became free"))
@@ -126,6 +129,18 @@
     assert last is IDLE or pool.member_connection.sent[-1] is ROLLBACK.kind or pool.discarded
 
 
+@pytest.mark.parametrize("writes", [True, False])
+async def test_the_queue_of_a_home_knows_a_prepared_write(writes: bool) -> None:
+    """Guards against prepared writes that a home takes for reads when it expects their work."""
+    pool, answers = FakePool(), []  # type: tuple[FakePool, list[Answer]]
+    shared = share(pool, answers)
+    shape = PreparedShape(writes=writes, shape="q1")
+    prepare = Statement(kind=StatementKind.PREPARE, name=EXECUTE.name, shape=shape)
+    shared.handle([prepare, EXECUTE], PRIORITY)
+    await asyncio.sleep(0.01)
+    assert [one.writes for one in pool.priorities] == [writes]
+
+
 async def test_a_name_that_the_other_node_has_not_prepared_runs_nothing() -> None:
     """Guards against a name that the connection to the member has from another session."""
     pool, lost = FakePool(), []  # type: tuple[FakePool, list[bool]]
