Let the fault soak use prepared statements in transactions and odd values

Change: half of the sessions with transactions prepare statements and change values in between; values have blanks and words of the protocol.

--- a/script/fault_soak/clients.py
+++ b/script/fault_soak/clients.py
@@ -15,6 +15,8 @@
 DEADLINE_S: Final = 3.0
 # Shapes of a read and a write; several begin with another one, or hold words of the protocol.
 READ_SHAPES: Final = ("q1a", "q1a READ ii", "q1a WRITE ii", " q1a", "READ q1a")
+# Values of which each may have blanks, as the last field of its message.
+VALUES: Final = ("z{}", "z{} ", " z{}", "z{} SET zone z", "z{} READ a0x0")
 WRITE_SHAPES: Final = ("q1a", "q2b", "q2b WRITE ii", "q2b  ", "WRITE q2b READ q1a")
 
 SessionKind = Callable[["Session"], Coroutine[Any, Any, None]]
@@ -47,6 +49,7 @@
         self.values: dict[str, str] = {}
         # Shapes of the prepared read and the prepared write.
         self.shapes = ("", "")
+        self.prepares = False
         self.state = "I"
         self.transaction: Request | None = None
         self._opened = 0
@@ -223,6 +226,9 @@
     """Run a transaction with pauses, and end it in one of several ways."""
     if not session.is_open:
         await session.async_connect()
+        session.prepares = random.random() < 0.5
+        if session.prepares:
+            await async_prepare(session)
     reads = session.kind == "bounded" or random.random() < 0.3
     begin = session.build("BEGIN READ" if reads else "BEGIN")
     writes: dict[str, str] = {}
@@ -230,10 +236,14 @@
         return
     session.transaction = begin
     for _ in range(random.randint(1, 6)):
+        if session.prepares and random.random() < 0.1:
+            await async_set_value(session)
         if reads or random.random() < 0.4:
             one = session.build(f"READ {choose_item(session)}", transaction=begin.id)
         else:
             one = replace(session.build_write(choose_item(session)), transaction=begin.id)
+        if session.prepares and random.random() < 0.5:
+            one = execute_prepared(session, one)
         staged, one.writes = one.writes, {}
         if not (await session.async_send(one)).succeeded:
             break
@@ -271,28 +281,42 @@
     """Use session values and prepared statements."""
     if not session.is_open:
         await session.async_connect()
-        session.shapes = random.choice(READ_SHAPES), random.choice(WRITE_SHAPES)
-        reads, writes = session.shapes
-        for text in ("SET zone z", f"PREPARE r READ {reads}", f"PREPARE w WRITE {writes}"):
-            if not (await session.async_send(session.build(text))).succeeded:
-                raise ClosedError
-            if text.startswith("SET"):
-                session.values["zone"] = "z"
+        await async_prepare(session)
     if random.random() < 0.1:
-        value = f"v{random.randrange(1000)}"
-        if not (await session.async_send(session.build(f"SET zone {value}"))).succeeded:
-            raise ClosedError
-        session.values["zone"] = value
+        await async_set_value(session)
     if session.kind != "bounded" and random.random() < 0.3:
         one = session.build_write(choose_item(session))
-        one.text = one.text.replace("WRITE", "EXECUTE w")
-        one.shape = session.shapes[1]
     else:
-        one = session.build(f"EXECUTE r {choose_item(session)}", shape=session.shapes[0])
-    await session.async_send(one)
+        one = session.build(f"READ {choose_item(session)}")
+    await session.async_send(execute_prepared(session, one))
     await asyncio.sleep(random.choice([0.0, 0.01, 0.2]))
 
 
+async def async_prepare(session: Session) -> None:
+    """Set a value and prepare a read and a write."""
+    session.shapes = random.choice(READ_SHAPES), random.choice(WRITE_SHAPES)
+    await async_set_value(session)
+    for text in (f"PREPARE r READ {session.shapes[0]}", f"PREPARE w WRITE {session.shapes[1]}"):
+        if not (await session.async_send(session.build(text))).succeeded:
+            raise ClosedError
+
+
+async def async_set_value(session: Session) -> None:
+    """Give a value to the session."""
+    value = random.choice(VALUES).format(random.randrange(1000))
+    if not (await session.async_send(session.build(f"SET zone {value}"))).succeeded:
+        raise ClosedError
+    session.values["zone"] = value
+
+
+def execute_prepared(session: Session, request: Request) -> Request:
+    """Return a read or write as one of the prepared statement of the session."""
+    is_read = request.text.startswith("READ")
+    word, name, shape = ("READ", "r", 0) if is_read else ("WRITE", "w", 1)
+    text = request.text.replace(word, f"EXECUTE {name}", 1)
+    return replace(request, text=text, shape=session.shapes[shape])
+
+
 @session_kind("half_close", 1)
 async def async_close_half(session: Session) -> None:
     """Send a statement, close the sending half and wait for the answer."""
