Test statements of any text that arrive together and in parts

Cause: the tests of what members run sent one statement at a time, in one write, outside of transactions. Change: sessions at once send up to twelve statements in parts of any size, with transactions and values that change in between; the member's record has to match each.

--- a/tests/site/common.py
+++ b/tests/site/common.py
@@ -58,6 +58,10 @@
     async def async_send(self, line: str) -> list[str]:
         """Send one message; return the answer up to READY or the end of the connection."""
         self._writer.write(f"{line}\r\n".encode())
+        return await self.async_read_answer()
+
+    async def async_read_answer(self) -> list[str]:
+        """Return the messages up to READY or the end of the connection."""
         lines: list[str] = []
         while True:
             lines.append(await self.async_read_line())
@@ -75,8 +79,12 @@
 
     async def async_query(self, text: str) -> list[str]:
         """Send a query and return the messages of its answer."""
+        return await self.async_send(f"QUERY {self.next_id()} {text}")
+
+    def next_id(self) -> str:
+        """Return the id of a new query."""
         self._next_id += 1
-        return await self.async_send(f"QUERY {self.last_id} {text}")
+        return self.last_id
 
     async def async_write(self, data: bytes) -> None:
         """Send bytes."""
--- a/tests/site/test_statement_texts.py
+++ b/tests/site/test_statement_texts.py
@@ -4,6 +4,8 @@
 The member of these tests splits what it gets as the contract says, not as a gateway builds it.
 """
 
+import asyncio
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -48,46 +50,69 @@
 
 
 class RandomSession:
-    """Session that sends random statements, with what a member has to run for each of them."""
+    """Session that makes up random statements, with what a member has to run for each of them."""
 
     def __init__(self, client: Client, rng: Random) -> None:
         self.client, self._rng = client, rng
         self._values: dict[str, str] = {}
         self._shapes: dict[str, tuple[str, str]] = {}
-
-    async def async_act(self) -> ExecutedStatement | None:
-        """Send a statement; return what a member has to run for it, None if it needs none."""
+        self._state = "I"
+
+    async def async_act(self, count: int = 1) -> list[ExecutedStatement]:
+        """Send statements in parts of any size; return what a member has to run for them."""
+        rng, expected, data = self._rng, [], b""
+        for _ in range(count):
+            text, run = self._build()
+            request_id = self.client.next_id()
+            data += f"QUERY {request_id} {text}\r\n".encode()
+            if run is not None:
+                expected.append(replace(run, request_id=request_id))
+        if self._state == "T":
+            data += f"QUERY {self.client.next_id()} ROLLBACK\r\n".encode()
+            self._state, count = "I", count + 1
+        while data:
+            size = rng.choice([1, 2, 40, len(data)])
+            await self.client.async_write(data[:size])
+            data = data[size:]
+            await asyncio.sleep(0)
+        for _ in range(count):
+            answer = await self.client.async_read_answer()
+            assert error_of(answer) == ""
+        return expected
+
+    def _build(self) -> tuple[str, ExecutedStatement | None]:
         rng = self._rng
         name, text, item = rng.choice(NAMES), rng.choice(TEXTS), rng.choice(NAMES)
         access = rng.choice(["READ", "WRITE"])
-        kind = rng.choice(["SET", "PREPARE", "PREPARE", "EXECUTE", "EXECUTE", "EXECUTE", access])
+        kind = rng.choice(["SET", "PREPARE", "PREPARE", *["EXECUTE"] * 4, access, "END"])
+        if kind == "END":
+            word = "BEGIN" if self._state == "I" else rng.choice(["COMMIT", "ROLLBACK"])
+            self._state = "T" if word == "BEGIN" else "I"
+            return word, None
         if kind == "EXECUTE" and self._shapes:
             name = rng.choice(list(self._shapes))
             access, shape = self._shapes[name]
             operand = f"{item} {text}" if access == "WRITE" else item
-            return await self._async_run(f"EXECUTE {name} {operand}", access, shape)
+            return self._expect(f"EXECUTE {name} {operand}", access, shape)
         if kind in {"READ", "WRITE"}:
             operand = f"{item} {text}" if kind == "WRITE" else text.strip() or item
-            return await self._async_run(f"{kind} {operand}", kind, "")
-        setup = f"SET {name} {text}" if kind == "SET" else f"PREPARE {name} {access} {text}"
-        assert error_of(await self.client.async_query(setup)) == ""
+            return self._expect(f"{kind} {operand}", kind, "")
         if kind == "SET":
             self._values[name] = text
-        else:
-            self._shapes[name] = access, text
-        return None
+            return f"SET {name} {text}", None
+        self._shapes[name] = access, text
+        return f"PREPARE {name} {access} {text}", None
 
-    async def _async_run(self, text: str, access: str, shape: str) -> ExecutedStatement:
-        assert error_of(await self.client.async_query(text)) == "", text
+    def _expect(self, text: str, access: str, shape: str) -> tuple[str, ExecutedStatement]:
         sent = read_text(text)
-        return ExecutedStatement(
-            request_id=self.client.last_id,
+        return text, ExecutedStatement(
+            request_id="",
             text=access,
             item=sent.item,
             data=sent.data,
             shape=shape,
             values=tuple(sorted(self._values.items())),
-            state="I",
+            state=self._state,
         )
 
 
@@ -95,27 +120,42 @@
 @pytest.mark.parametrize("seed", range(3))
 async def test_statements_of_any_text_run_as_they_were_sent(seed: int, gateways: int) -> None:
     """Guards against a field that a member reads as another one, or as another statement."""
-    rng = Random(seed)
+    await async_check_random_statements(Random(seed), gateways, rounds=120, most=1)
+
+
+@pytest.mark.parametrize("gateways", [1, 3])
+@pytest.mark.parametrize("seed", range(3))
+async def test_statements_sent_together_run_with_their_values_and_transaction(
+    seed: int, gateways: int
+) -> None:
+    """Guards against a statement that runs with values, a shape or a state of a later one."""
+    await async_check_random_statements(Random(seed), gateways, rounds=25, most=12, together=3)
+
+
+async def async_check_random_statements(
+    rng: Random, gateways: int, *, rounds: int, most: int, together: int = 1
+) -> None:
+    """Let `together` sessions send up to `most` statements each, and check what members ran."""
     async with async_deploy(gateways, SHARED_CONNECTIONS) as deployment:
         sessions = [
-            RandomSession(await deployment.async_connect("urgent", index % gateways), rng)
+            RandomSession(
+                await deployment.async_connect("urgent", index % gateways), Random(rng.random())
+            )
             for index in range(6)
         ]
-        sent = [
-            statement
-            for _ in range(120)
-            if (statement := await rng.choice(sessions).async_act()) is not None
-        ]
-        runs = list_runs(deployment)
-        ran = {one.request_id: runs.get(one.request_id) for one in sent}
-        for one in sent:
-            run = ran[one.request_id]
-            assert run is not None
-            assert (run.text, run.shape, run.item, run.data) == (
-                *(one.text, one.shape, one.item, one.data),
-            )
-            assert (run.values, run.state) == (one.values, one.state)
-        assert len(runs) == len(sent)
+        expected: list[ExecutedStatement] = []
+        for _ in range(rounds):
+            acting = [one.async_act(rng.randint(1, most)) for one in rng.sample(sessions, together)]
+            for ran in await asyncio.gather(*acting):
+                expected += ran
+        runs = {
+            run.request_id: replace(run, caller="")
+            for run in list_runs(deployment).values()
+            if run.text != "COMMIT"
+        }
+        assert len(expected) > rounds // 4
+        assert [runs.get(one.request_id) for one in expected] == expected
+        assert len(runs) == len(expected)
 
 
 @pytest.mark.parametrize("text", ["READ {}", "PREPARE s2 READ {}", "EXECUTE s1 ward {}"])
