Say in one place when a connection lacks a shape

Cause: the condition for a RESET and its texts were hard to read at the first look. Change: names only.

--- a/libs/statements/burdockrun_statements/session.py
+++ b/libs/statements/burdockrun_statements/session.py
@@ -137,10 +137,10 @@
     one that holds many prepared statements and needs another one.
     """
     setup: list[Statement] = []
-    is_prepared = shape is None or name_shape(shape) in connection.prepared
-    is_full = connection.prepared_bytes >= MAX_PREPARED_BYTES and may_reset
     has_foreign_values = any(name not in session.values for name in connection.values)
-    if has_foreign_values or (is_full and not is_prepared):
+    lacks_shape = shape is not None and name_shape(shape) not in connection.prepared
+    is_full = connection.prepared_bytes >= MAX_PREPARED_BYTES
+    if has_foreign_values or (may_reset and lacks_shape and is_full):
         setup.append(Statement(kind=StatementKind.RESET))
         connection.reset()
     for name, value in session.values.items():
--- a/script/fault_soak/clients.py
+++ b/script/fault_soak/clients.py
@@ -15,9 +15,9 @@
 DEADLINE_S: Final = 3.0
 # Shapes of a read and a write; several begin with another one, or hold words of the protocol.
 READ_SHAPES: Final = ("q1a", "q1a READ ii", "q1a WRITE ii", " q1a", "READ q1a")
-# Values of which each may have blanks, as the last field of its message.
-VALUES: Final = ("z{}", "z{} ", " z{}", "z{} SET zone z", "z{} READ a0x0")
 WRITE_SHAPES: Final = ("q1a", "q2b", "q2b WRITE ii", "q2b  ", "WRITE q2b READ q1a")
+# Values; as the last field of a message they may have blanks.
+VALUES: Final = ("z{}", "z{} ", " z{}", "z{} SET zone z", "z{} READ a0x0")
 
 SessionKind = Callable[["Session"], Coroutine[Any, Any, None]]
 SESSION_KINDS: dict[str, tuple[SessionKind, int]] = {}
