Refuse what other nodes forward once the drain of a proxy has ended

Cause: after the time-out of its drain a proxy refused its own callers, but its homes still sent to members what other nodes forwarded, until the links closed. The same after a drain that had finished, for the only proxy of a failure domain, and for statements of transactions that it passes on itself. Reads that waited for a replica (`ParkedReads`) were not returned with the queue of their home. Change: with the end of the drain, finished or timed out, the node accepts nothing for a member and answers forwards with NOT_HOME, which says that they have not run; the entry goes to the standby, and statements of transactions end as not_run / unknown_transaction. Returning the queue returns parked reads. Callers saw: a statement in a transaction whose home stops ended as `unknown` (proxy node lost); other requests were retried only once the link was lost; parked reads of own callers were `unknown`.

--- a/libs/proxy/burdockrun_proxy/home.py
+++ b/libs/proxy/burdockrun_proxy/home.py
@@ -241,8 +241,10 @@
             self._start(taken.work, now_ms)
 
     def return_queued(self, now_ms: int) -> None:
-        """Return queued requests to their senders because another node takes over."""
+        """Return queued and parked requests to their senders because another node takes over."""
         self._return_waiting(ForwardStatus.NOT_HOME, now_ms)
+        for request in self._parked.take_all():
+            self._reply(request, HomeReply(status=ForwardStatus.NOT_HOME), now_ms)
 
     def _return_waiting(self, status: ForwardStatus, now_ms: int) -> None:
         for work_id in tuple(self._waiting):
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -109,7 +109,8 @@
         self._supervisors: dict[str, GroupSupervisor] = {}
         self._forwards_in_flight = 0
         self._draining = False
-        self._drain_reported = False
+        # Whether the drain has finished or timed out; nothing is accepted for a member any more.
+        self._has_ended = False
         self._handover_until_ms = 0
         self._configuration = Configuration()
         self.fleet = FleetAgent(
@@ -270,11 +271,16 @@
     @_handlers.register("DrainExpired")
     def _end_drain(self, event: DrainExpired, now_ms: int) -> None:
         """Answer all callers; what waits at a home here has not run, and may run elsewhere."""
-        self._entry.refuse_all()
+        self._end_service()
         for home in self._homes:
             home.return_queued(now_ms)
         self._entry.answer_all(now_ms)
 
+    def _end_service(self) -> None:
+        """Refuse all requests from now on, because all links are about to close."""
+        self._has_ended = True
+        self._entry.refuse_all()
+
     def _receive_forward(self, message: Forward, now_ms: int) -> None:
         self._forwards_in_flight += 1
         request = HomeRequest(
@@ -313,7 +319,7 @@
     def _accept(self, member: str, request: HomeRequest, now_ms: int) -> bool:
         """Pass a request to the home of a member; return False when this node cannot serve it."""
         home = self._homes.find(member)
-        if home is None:
+        if home is None or self._has_ended:
             return False
         # A transaction that begins now could delay the end of the drain.
         if self._draining and request.request.step is TransactionStep.BEGIN:
@@ -447,14 +453,14 @@
 
     def _report_drained(self, now_ms: int) -> None:
         """Report the end of the drain: nothing is in flight and handover is done or timed out."""
-        if not self._draining or self._drain_reported:
+        if not self._draining or self._has_ended:
             return
         if self._can_hand_over() and now_ms < self._handover_until_ms:
             return
         busy = self._entry.in_flight or self._forwards_in_flight
         if busy or self._homes.in_flight:
             return
-        self._drain_reported = True
+        self._end_service()
         self._outbox.add(DrainFinished())
 
 
--- a/libs/proxy/burdockrun_proxy/parking.py
+++ b/libs/proxy/burdockrun_proxy/parking.py
@@ -34,6 +34,11 @@
         self._outbox.wake_at(at_ms)
         return True
 
+    def take_all(self) -> list[HomeRequest]:
+        """Return all parked reads, also those whose wait is not over."""
+        parked, self._parked = self._parked, []
+        return [request for _, request in parked]
+
     def take_due(self, now_ms: int) -> list[HomeRequest]:
         """Return the reads whose wait is over."""
         due = [request for at_ms, request in self._parked if at_ms <= now_ms]
--- a/tests/proxy/test_home.py
+++ b/tests/proxy/test_home.py
@@ -36,7 +36,7 @@
 MEMBER = DATABASE.members[0]
 
 
-def make_home(outbox: Outbox, primary: str) -> MemberHome:
+def make_home(outbox: Outbox, primary: str, positions: PositionTable | None = None) -> MemberHome:
     """Return a home with one open connection and a record with `primary` in term 3."""
     ids = count(1)
     acknowledger = Acknowledger(outbox)
@@ -46,7 +46,7 @@
         node="vm1",
         outbox=outbox,
         ids=ids,
-        positions=PositionTable(),
+        positions=positions or PositionTable(),
         acknowledger=acknowledger,
         settlement=Settlement(outbox, acknowledger, lambda _: None),
         freshness=FreshnessCheck(outbox),
@@ -188,3 +188,36 @@
     )
     home.execute_answered(sent.connection_id, answer, 60)
     assert [reply.status for reply in replies] == [status]
+
+
+def test_a_read_that_waits_for_its_replica_is_returned_with_the_queue() -> None:
+    """Guards against a read that has not run but is told as `unknown`, or to a link that closes."""
+    outbox = Outbox()
+    positions = PositionTable()
+    for index, now_ms in ((1, 0), (100, 1_000)):
+        position = LogPosition(term=3, index=index)
+        positions.observe(DATABASE.name, MEMBER.name, position, 0, now_ms)
+    home = make_home(outbox, DATABASE.members[1].name, positions)
+    request = StatementRequest(
+        request_id="r1",
+        account=SERVICE.account,
+        database=DATABASE.name,
+        statement="GET key",
+        access=Access.READ,
+    )
+    replies: list[HomeReply] = []
+    waiting = HomeRequest(
+        request=request,
+        rank=SERVICE.ranks[0].name,
+        deadline_ms=3_000,
+        required=LogPosition(term=3, index=101),
+        max_lag_ms=None,
+        on_reply=lambda reply, now_ms: replies.append(reply),
+    )
+    home.accept(waiting, 1_001)
+    assert (home.in_flight, replies) == (1, [])
+    home.return_queued(1_002)
+    assert [reply.status for reply in replies] == [ForwardStatus.NOT_HOME]
+    home.tick(1_500)
+    assert home.in_flight == 0
+    assert not any(isinstance(action, SendExecute) for action in outbox.drain())
--- a/tests/proxy/test_node.py
+++ b/tests/proxy/test_node.py
@@ -9,8 +9,15 @@
     Code,
     DrainExpired,
     DrainRequested,
+    Forward,
+    ForwardAnswer,
+    ForwardStatus,
     Outcome,
     PeerLost,
+    PeerReceived,
+    SendExecute,
+    SendPeer,
+    StatementRequest,
     TransactionStep,
 )
 from burdockrun_proxy import NAIVE_POLICIES
@@ -212,6 +219,69 @@
             assert deployment.execute(other, f"GET k{number}").result is None
 
 
+def forward(
+    deployment: VirtualDeployment, home: NodeHost, member: str, request: StatementRequest
+) -> tuple[list[ForwardStatus], int]:
+    """Let another node forward a request; return the answers and the number of statements sent."""
+    sender = next(host.info for host in deployment.cluster.nodes if host is not home)
+    message = Forward(
+        forward_id=7, member=member, request=request, deadline_ms=1_000, sender=sender
+    )
+    event = PeerReceived(peer=sender.node, message=message)
+    actions = home.node.handle(event, deployment.cluster.loop.now_ms)
+    answers = [one.message for one in actions if isinstance(one, SendPeer)]
+    statuses = [one.status for one in answers if isinstance(one, ForwardAnswer)]
+    return statuses, sum(isinstance(one, SendExecute) for one in actions)
+
+
+@pytest.mark.parametrize("has_timed_out", [True, False])
+@pytest.mark.parametrize("statement", ["PUT key 1", "GET key"])
+def test_a_home_whose_drain_has_ended_runs_nothing_for_other_nodes(
+    statement: str, has_timed_out: bool
+) -> None:
+    """Guards against statements that are sent to a member just before all links close."""
+    deployment = VirtualDeployment()
+    # The only node of its failure domain ends its drain as soon as nothing is in flight.
+    move_primary_to(deployment, "muc-nord")
+    name = find_primary(deployment)
+    home = deployment.find_home(name)
+    home.deliver(DrainRequested())
+    if has_timed_out:
+        assert forward(deployment, home, name, deployment.build(statement)) == ([], 1)
+        home.deliver(DrainExpired())
+    else:
+        while not home.drained:
+            deployment.run(1)
+    refused = forward(deployment, home, name, deployment.build(statement))
+    assert refused == ([ForwardStatus.NOT_HOME], 0)
+
+
+@pytest.mark.parametrize("step", [TransactionStep.STATEMENT, TransactionStep.COMMIT])
+def test_a_transaction_at_a_home_whose_drain_has_timed_out_is_refused(
+    step: TransactionStep,
+) -> None:
+    """Guards against a statement of another node's caller whose outcome nobody knows."""
+    deployment = VirtualDeployment()
+    name = find_primary(deployment)
+    home = deployment.find_home(name)
+    other = next(host for host in deployment.cluster.nodes if host.info.domain != home.info.domain)
+    begun = deployment.execute(other, "BEGIN", step=TransactionStep.BEGIN)
+    deployment.cluster.members[name].member.queue.stuck = True
+    home.deliver(DrainRequested())
+    home.deliver(DrainExpired())
+    request = deployment.build("PUT t 1", transaction=begun.transaction, step=step)
+    answer = deployment.send(other, request)
+    deployment.cluster.loop.after(100, lambda: deployment.cluster.stop_node(home))
+    deployment.run(50)
+    found = answer()
+    assert found is not None
+    assert (found.outcome, found.code) == (Outcome.NOT_RUN, Code.UNKNOWN_TRANSACTION)
+    deployment.run(1_000)
+    deployment.cluster.members[name].member.queue.stuck = False
+    deployment.run(20_000)
+    assert deployment.execute(other, "GET t").result is None
+
+
 def test_answers_equal_those_of_the_naive_baseline() -> None:
     """Guards against results that differ from those of direct access to the primary."""
     results = []
