Send what is ready for other nodes before a proxy closes its links

Cause: a proxy that stops flushed the streams of its callers, but not its links to peers. A link that was still opening was cancelled with all that waited for it, refusals at the end of the drain among them. Change: the flush before the streams close includes the links to peers, within the same 2 s. The entry finds the link lost, and takes a request that has not run for one that may have. Result: test_a_stop_sends_the_answers_that_are_ready_for_peers[False] fails before (0 of 1 messages arrive) and passes; the case of an open link passed before. tests/proxy/test_links.py and test_driver.py: 20 passed, tests/test_processes.py: 15 passed.

--- a/libs/proxy/burdockrun_proxy/driver.py
+++ b/libs/proxy/burdockrun_proxy/driver.py
@@ -84,6 +84,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def async_flush_peers(self) -> None:
+        """Wait until all messages to peers in reach are sent."""
+        await self._peers.async_flush()
+
     def add_caller(self, on_answer: OnAnswer) -> int:
         """Register `on_answer` for the answer to one request and return its caller id."""
         caller_id = self._next_caller_id
--- a/libs/proxy/burdockrun_proxy/peers.py
+++ b/libs/proxy/burdockrun_proxy/peers.py
@@ -21,6 +21,8 @@
         self.peer = peer
         self.waiting: list[bytes] = []
         self.writer: StreamWriter | None = None
+        # Set once the link is open, or has failed to open.
+        self.connected = asyncio.Event()
 
     def send(self, frame: bytes) -> None:
         """Send a frame now or as soon as the link is open."""
@@ -30,6 +32,12 @@
         if len(self.waiting) < MAX_QUEUED_FRAMES:
             self.waiting.append(frame)
 
+    async def async_flush(self) -> None:
+        """Wait until all frames are sent, or the link has failed to open."""
+        await self.connected.wait()
+        if self.writer is not None:
+            await self.writer.async_flush()
+
 
 class PeerLinks:
     """Outgoing links of this process by peer name."""
@@ -56,6 +64,10 @@
             task.add_done_callback(self._tasks.discard)
         link.send(encode_message(message))
 
+    async def async_flush(self) -> None:
+        """Wait until all messages to peers in reach are sent."""
+        await asyncio.gather(*(link.async_flush() for link in tuple(self._links.values())))
+
     async def async_close(self) -> None:
         """Close all links."""
         for task in tuple(self._tasks):
@@ -76,6 +88,7 @@
         for frame in link.waiting:
             link.writer.send(frame)
         link.waiting.clear()
+        link.connected.set()
         sender = asyncio.get_running_loop().create_task(link.writer.async_run())
         try:
             async for _ in socket:
@@ -88,4 +101,5 @@
     def _drop(self, link: PeerLink) -> None:
         if self._links.get(link.peer.node) is link:
             del self._links[link.peer.node]
+        link.connected.set()
         self._dispatch(PeerLost(peer=link.peer.node))
--- a/libs/proxy/burdockrun_proxy/server.py
+++ b/libs/proxy/burdockrun_proxy/server.py
@@ -53,10 +53,13 @@
         return server
 
     async def async_close_streams(self) -> None:
-        """Send the queued frames, then close the streams of callers and peers."""
+        """Send what is queued for callers and peers, then close their streams."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FLUSH_TIMEOUT_S):
-                await asyncio.gather(*(writer.async_flush() for writer in self._writers))
+                await asyncio.gather(
+                    self._driver.async_flush_peers(),
+                    *(writer.async_flush() for writer in self._writers),
+                )
         await asyncio.gather(
             *(socket.close() for socket in tuple(self._open_streams)), return_exceptions=True
         )
--- a/tests/proxy/test_links.py
+++ b/tests/proxy/test_links.py
@@ -1,20 +1,28 @@
 """Tests of the links of a proxy to members and peers at addresses that others have written."""
 
 import asyncio
+from types import SimpleNamespace
 
 import aiohttp
 import pytest
+from aiohttp import web
+from burdockrun_base import Application
 from burdockrun_messages import (
     AskStatus,
     ConnectionClosed,
+    DrainExpired,
     Event,
     Member,
     NodeInfo,
     PeerLost,
+    SendPeer,
     TicketsPull,
+    TimerFired,
 )
+from burdockrun_proxy.driver import NodeDriver
 from burdockrun_proxy.endpoints import EndpointLinks
 from burdockrun_proxy.peers import PeerLinks
+from burdockrun_proxy.server import ProxyServer
 
 NODE = NodeInfo(node="p1", domain="aug", host="127.0.0.1", port=1)
 ADDRESSES = [("a..b", 9), ("x" * 300, 9), ("a\0b", 9), ("127.0.0.1", 99_999), ("[", 9), ("", 0)]
@@ -43,3 +51,44 @@
         links.send(peer, TicketsPull(after_number=1))
         assert await lost.get() == PeerLost(peer="p2")
         await links.async_close()
+
+
+@pytest.mark.parametrize("is_open", [True, False])
+async def test_a_stop_sends_the_answers_that_are_ready_for_peers(is_open: bool) -> None:
+    """Guards against a refusal that is lost with its link, so that its request may have run."""
+    received: asyncio.Queue[str] = asyncio.Queue()
+
+    async def async_receive(request: web.Request) -> web.WebSocketResponse:
+        await asyncio.sleep(0.1)
+        socket = web.WebSocketResponse()
+        await socket.prepare(request)
+        async for frame in socket:
+            received.put_nowait(frame.data)
+        return socket
+
+    runner = web.AppRunner(web.Application())
+    runner.app.router.add_get("/v1/peer", async_receive)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = runner.addresses[0][1]
+    action = SendPeer(
+        peer=NodeInfo(node="p2", domain="aug", host="127.0.0.1", port=port),
+        message=TicketsPull(after_number=1),
+    )
+    sends = (DrainExpired, TimerFired)
+    node = SimpleNamespace(
+        info=NODE, handle=lambda event, _: [action] if isinstance(event, sends) else []
+    )
+    async with aiohttp.ClientSession() as session, asyncio.timeout(LIMIT_S):
+        app = Application()
+        driver = NodeDriver(app, node, session, SimpleNamespace())  # type: ignore[arg-type]
+        server = ProxyServer(app, driver)
+        if is_open:
+            driver.dispatch(TimerFired())
+            await received.get()
+        driver.dispatch(DrainExpired())
+        await server.async_close_streams()
+        await driver.async_stop()
+        await runner.cleanup()
+    assert received.qsize() == 1
