Log unexpected errors of the proxy by type and place

Cause: event 910 carried up to 200 characters of the error's repr. The text of an error may quote what it was about; a KeyError does, and a UnicodeEncodeError quotes the whole value. Change: `locate_error` (libs/base) gives the type and the innermost calls, which hold names of files and functions only. `error` of event 910 is the type now. `describe_error` stays for the gateway (event 1342). Callers saw: nothing; a session token, the account and a statement in the operators' logs.

--- a/libs/base/burdockrun_base/errors.py
+++ b/libs/base/burdockrun_base/errors.py
@@ -28,6 +28,17 @@
     return {"error": shorten_reason(repr(error)), "trace": _describe_trace(error)}
 
 
+def locate_error(error: BaseException) -> dict[str, str]:
+    """Return the type of an unexpected error and where it was raised, as fields of a log event.
+
+    The text of an error may quote what it was about, such as a session token or a statement.
+
+    >>> locate_error(KeyError("a session token"))
+    {'error': 'KeyError', 'trace': ''}
+    """
+    return {"error": type(error).__name__, "trace": _describe_trace(error)}
+
+
 def _describe_trace(error: BaseException) -> str:
     """Return the innermost calls that led to an error, in one line, the innermost one last."""
     frames = traceback.extract_tb(error.__traceback__)[-MAX_FRAMES:]
--- a/libs/proxy/burdockrun_proxy/driver.py
+++ b/libs/proxy/burdockrun_proxy/driver.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import aiohttp
-from burdockrun_base import Application, Registry, describe_error
+from burdockrun_base import Application, Registry, locate_error
 from burdockrun_messages import (
     Action,
     CallControl,
@@ -131,7 +131,7 @@
         """Log and count an unexpected error."""
         self._app.metrics.count("event_failed")
         self._app.events.write_spaced(
-            EVENT_FAILED, kind, FAILURE_LOG_INTERVAL_MS, kind=kind, **describe_error(error)
+            EVENT_FAILED, kind, FAILURE_LOG_INTERVAL_MS, kind=kind, **locate_error(error)
         )
 
     def spawn(self, coroutine: Any) -> None:
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -7,7 +7,7 @@
 from typing import Any, Final
 
 from burdockrun_admission import AccountLimiter
-from burdockrun_base import Registry, describe_error
+from burdockrun_base import Registry, locate_error
 from burdockrun_failover import Acknowledger, GroupSupervisor, ProbeBudget
 from burdockrun_fleet import FleetAgent, TicketFunctions
 from burdockrun_messages import (
@@ -248,7 +248,7 @@
                 if self._strict:
                     raise
                 self._outbox.log_rate_limited(
-                    EVENT_FAILED, now_ms, kind=step.__qualname__, **describe_error(error)
+                    EVENT_FAILED, now_ms, kind=step.__qualname__, **locate_error(error)
                 )
 
     @_handlers.register("ProcessPaused")
