Keep what callers send out of the log lines of libraries

Cause: the HTTP server logs a request that is not HTTP with a traceback, whose error quotes the bad line; the event loop logs an error that no task observes with its text. Both went to the log of the proxy, in JSON logs as lines that are no JSON. Change: `failures.py` gives both a destination: event 911 (new) with the kind of the fault for what is not HTTP, event 910 by type and place for the rest. Callers saw: nothing (status 400, as before); parts of a request, its headers too, in the operators' logs. Result: test_a_malformed_http_request_is_logged_without_its_content (a real process) fails before (the quoted header and a traceback are in its log) and passes.

--- a/libs/proxy/burdockrun_proxy/const.py
+++ b/libs/proxy/burdockrun_proxy/const.py
@@ -63,3 +63,6 @@
     Level.ERROR,
     "The proxy has raised an unexpected error as it handled an event; it goes on with the next.",
 )
+HTTP_REQUEST_REFUSED = define_event(
+    911, "http_request_refused", Level.WARNING, "What a client sent is not HTTP."
+)
--- a/libs/proxy/burdockrun_proxy/driver.py
+++ b/libs/proxy/burdockrun_proxy/driver.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import aiohttp
-from burdockrun_base import Application, Registry, locate_error
+from burdockrun_base import Application, Registry
 from burdockrun_messages import (
     Action,
     CallControl,
@@ -31,13 +31,9 @@
 )
 from burdockrun_platform import PlatformClient
 
-from burdockrun_proxy.const import (
-    EVENT_FAILED,
-    FAILURE_LOG_INTERVAL_MS,
-    PAUSE_THRESHOLD_MS,
-    TICK_INTERVAL_MS,
-)
+from burdockrun_proxy.const import PAUSE_THRESHOLD_MS, TICK_INTERVAL_MS
 from burdockrun_proxy.endpoints import EndpointLinks
+from burdockrun_proxy.failures import report_failure
 from burdockrun_proxy.models import answer_unknown
 from burdockrun_proxy.node import ProxyNode
 from burdockrun_proxy.peers import PeerLinks
@@ -128,11 +124,7 @@
         return [SendAnswer(caller_id=event.caller_id, answer=answer)]
 
     def _report_failure(self, kind: str, error: BaseException) -> None:
-        """Log and count an unexpected error."""
-        self._app.metrics.count("event_failed")
-        self._app.events.write_spaced(
-            EVENT_FAILED, kind, FAILURE_LOG_INTERVAL_MS, kind=kind, **locate_error(error)
-        )
+        report_failure(self._app, kind, error)
 
     def spawn(self, coroutine: Any) -> None:
         """Run a coroutine in the background until it ends or the driver stops."""
--- a/libs/proxy/burdockrun_proxy/program.py
+++ b/libs/proxy/burdockrun_proxy/program.py
@@ -26,6 +26,7 @@
 
 from burdockrun_proxy.const import PROXY_STARTED, PROXY_STOPPED, VERSION
 from burdockrun_proxy.driver import NodeDriver
+from burdockrun_proxy.failures import build_http_logger, handle_loop_failures
 from burdockrun_proxy.node import ProxyNode
 from burdockrun_proxy.server import ProxyServer
 
@@ -67,11 +68,14 @@
     """Serve until SIGTERM, then drain and return the exit status."""
     app = Application(metrics=build_metrics(settings), events=events)
     app.handle_signals()
+    handle_loop_failures(app)
     session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
     app.on_unload(session.close)
     driver = build_driver(app, settings, session)
     server = ProxyServer(app, driver)
-    runner = web.AppRunner(server.build(), access_log=None, shutdown_timeout=1.0)
+    runner = web.AppRunner(
+        server.build(), access_log=None, shutdown_timeout=1.0, logger=build_http_logger(app)
+    )
     await runner.setup()
     app.on_unload(runner.cleanup)
     await web.TCPSite(runner, settings.host, settings.port, backlog=4096).start()
--- a/tests/proxy/test_driver.py
+++ b/tests/proxy/test_driver.py
@@ -1,6 +1,7 @@
 """Tests of the driver of a proxy node: what an unexpected error may stop."""
 
 import asyncio
+import gc
 from random import Random
 from types import SimpleNamespace
 from typing import Any
@@ -34,6 +35,7 @@
 from burdockrun_proxy.const import EVENT_FAILED
 from burdockrun_proxy.driver import NodeDriver
 from burdockrun_proxy.entry import RequestRouter
+from burdockrun_proxy.failures import handle_loop_failures
 from burdockrun_proxy.program import async_drain
 
 NODE = NodeInfo(node="p1", domain="aug", host="127.0.0.1", port=1)
@@ -170,6 +172,28 @@
     assert events == [DrainRequested(), DrainExpired()]
 
 
+async def test_a_task_that_nobody_observes_is_logged_without_the_text_of_its_error(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against the report of the event loop, which shows the error of the task."""
+
+    async def async_fail() -> None:
+        raise ValueError("v1.a-session-token")
+
+    failures: list[dict[str, Any]] = []
+    app = Application(clock=ManualClock(100_000))
+    app.events = SimpleNamespace(  # type: ignore[assignment]
+        write_spaced=lambda event, key, interval_ms, **fields: failures.append(fields)
+    )
+    handle_loop_failures(app)
+    task = asyncio.get_running_loop().create_task(async_fail())
+    await asyncio.sleep(0)
+    del task
+    gc.collect()
+    assert [(one["kind"], one["error"]) for one in failures] == [("event loop", "ValueError")]
+    assert "session-token" not in str(failures) + caplog.text
+
+
 def make_node() -> ProxyNode:
     """Return a node that logs unexpected errors."""
     return ProxyNode(
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -12,7 +13,7 @@
 import pytest
 
 from script.demo import ACCOUNT, DATABASE, DOMAINS, build_ticket
-from script.processes import Cluster, fetch_json, wait_until_ready
+from script.processes import HOST, Cluster, fetch_json, wait_until_ready
 
 Answer = dict[str, object]
 
@@ -129,6 +130,19 @@
     assert send(cluster, 1, f"after-{code}", "GET bad")["result"] is None
 
 
+def test_a_malformed_http_request_is_logged_without_its_content(cluster: Cluster) -> None:
+    """Guards against tokens and statements of callers in a log, and lines that are no JSON."""
+    address = (HOST, cluster.proxies[0].port)
+    for line in (b"Author ization: se\tcret-4711", b"X: secret-4711\0", b"secret-4711"):
+        with socket.create_connection(address, timeout=5) as connection:
+            connection.sendall(b"POST /v1/statements HTTP/1.1\r\nHost: x\r\n" + line + b"\r\n\r\n")
+            assert b" 400 " in connection.recv(200)
+    log = cluster.processes["node-1"].log.read_text()
+    assert "4711" not in log
+    events = [json.loads(line) for line in log.splitlines()]
+    assert 911 in [event["event"] for event in events]
+
+
 def test_invalid_settings_are_reported_with_all_findings() -> None:
     """Guards against a traceback, or a proxy that starts, when the settings are invalid."""
     folder = Cluster().folder
