Give the reason of a failed call without what the other side has sent

Cause: events 905 (connection to a member) and 608 (call to the platform) carry the text of the error as `reason`, and errors of the HTTP client quote the bytes that they could not read; an envelope of an unknown kind was quoted whole. Change: `name_error` (libs/base) gives the type with the HTTP status or the system's message. Result: test_the_reason_of_a_failed_call_quotes_nothing_of_its_answer: 2 of 3 cases fail before (the quoted line; the third, a status line, was not quoted) and all pass. test_client_returns_a_failure_for_every_fault [unknown] fails before and passes. tests/platform, tests/proxy/test_links.py and tests/control/test_program.py: 44 passed.

--- a/libs/base/burdockrun_base/__init__.py
+++ b/libs/base/burdockrun_base/__init__.py
@@ -3,7 +3,7 @@
 from burdockrun_base.application import Application
 from burdockrun_base.clock import Clock, ManualClock, SystemClock
 from burdockrun_base.descriptors import raise_descriptor_limit
-from burdockrun_base.errors import describe_error, locate_error, shorten_reason
+from burdockrun_base.errors import describe_error, locate_error, name_error, shorten_reason
 from burdockrun_base.findings import Finding, Findings
 from burdockrun_base.log_events import (
     FORMAT_JSON,
@@ -53,6 +53,7 @@
     "describe_error",
     "list_events",
     "locate_error",
+    "name_error",
     "open_write",
     "raise_descriptor_limit",
     "set_up_logs",
--- a/libs/base/burdockrun_base/errors.py
+++ b/libs/base/burdockrun_base/errors.py
@@ -1,5 +1,6 @@
 """Short descriptions of errors, each for one line of the log."""
 
+import os
 import traceback
 from pathlib import Path
 from typing import Final
@@ -39,6 +40,25 @@
     return {"error": type(error).__name__, "trace": _describe_trace(error)}
 
 
+def name_error(error: BaseException) -> str:
+    """Return the type of the error of a call, with its HTTP status or the message of the system.
+
+    The text of such an error may quote what the other side has sent.
+
+    >>> name_error(ConnectionRefusedError(111, "what the other side has sent"))
+    'ConnectionRefusedError: Connection refused'
+    >>> name_error(ValueError("what the other side has sent"))
+    'ValueError'
+    """
+    name = type(error).__name__
+    status = getattr(error, "status", None)
+    if isinstance(status, int):
+        return f"{name}: status {status}"
+    if isinstance(error, OSError) and error.errno is not None and error.errno > 0:
+        return f"{name}: {os.strerror(error.errno)}"
+    return name
+
+
 def _describe_trace(error: BaseException) -> str:
     """Return the innermost calls that led to an error, in one line, the innermost one last."""
     frames = traceback.extract_tb(error.__traceback__)[-MAX_FRAMES:]
--- a/libs/platform/burdockrun_platform/client.py
+++ b/libs/platform/burdockrun_platform/client.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import aiohttp
+from burdockrun_base import name_error
 from burdockrun_messages import PlatformFailure, PlatformOperation, PlatformReply
 from result import Err
 
@@ -27,7 +28,7 @@
         except TimeoutError:
             return PlatformFailure(reason=f"no answer within {timeout_ms} ms")
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return PlatformFailure(reason=f"{type(error).__name__}: {error}")
+            return PlatformFailure(reason=name_error(error))
 
     async def _async_post(self, body: bytes) -> PlatformReply:
         async with self._session.post(self._url, data=body, headers=_HEADERS) as response:
--- a/libs/platform/burdockrun_platform/envelope.py
+++ b/libs/platform/burdockrun_platform/envelope.py
@@ -65,7 +65,7 @@
     name = envelope.get(name_field)
     kind = kinds.get(name) if isinstance(name, str) else None
     if kind is None:
-        return Err(f"{name_field}: unknown name {name!r}")
+        return Err(f"{name_field}: unknown name")
     if value_field not in envelope:
         return Err(f"{value_field}: missing")
     decoded = decode_message(kind, json.dumps(envelope[value_field]))
--- a/libs/proxy/burdockrun_proxy/endpoints.py
+++ b/libs/proxy/burdockrun_proxy/endpoints.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import aiohttp
+from burdockrun_base import name_error
 from burdockrun_messages import (
     AskStatus,
     AwaitConfirmed,
@@ -60,7 +61,7 @@
             async with asyncio.timeout(OPEN_TIMEOUT_S):
                 socket = await self._session.ws_connect(url, max_msg_size=0)
         except CALL_ERRORS as error:
-            self._report_closed(connection_id, str(error) or type(error).__name__)
+            self._report_closed(connection_id, name_error(error))
             return
         if connection_id in self._closed_before_open:
             await socket.close()
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -19,10 +19,12 @@
         return web.Response(status=503)
     if operation.key == "damaged":
         return web.Response(body=b'{"reply":"KeyEntry","value":{"key":1}}')
+    if operation.key == "unknown":
+        return web.Response(body=b'{"reply":"patient-17","value":{}}')
     return web.Response(body=encode_reply(KeyEntry(key=operation.key, value="v", revision=3)))
 
 
-@pytest.mark.parametrize("key", ["slow", "down", "damaged", "good"])
+@pytest.mark.parametrize("key", ["slow", "down", "damaged", "unknown", "good"])
 async def test_client_returns_a_failure_for_every_fault(key: str) -> None:
     """Guards against exceptions of the HTTP library that reach the proxy's event loop."""
     app = web.Application()
@@ -34,6 +36,8 @@
         assert reply == KeyEntry(key="good", value="v", revision=3)
         return
     assert isinstance(reply, PlatformFailure)
+    # The reason goes into the log.
+    assert "patient-17" not in reply.reason
 
 
 async def test_closed_port_is_a_failure() -> None:
--- a/tests/proxy/test_links.py
+++ b/tests/proxy/test_links.py
@@ -12,13 +12,16 @@
     ConnectionClosed,
     DrainExpired,
     Event,
+    GetKey,
     Member,
     NodeInfo,
     PeerLost,
+    PlatformFailure,
     SendPeer,
     TicketsPull,
     TimerFired,
 )
+from burdockrun_platform import PlatformClient
 from burdockrun_proxy.driver import NodeDriver
 from burdockrun_proxy.endpoints import EndpointLinks
 from burdockrun_proxy.peers import PeerLinks
@@ -92,3 +95,33 @@
         await driver.async_stop()
         await runner.cleanup()
     assert received.qsize() == 1
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"PUT patient-17 moved\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\npatient-17 moved\r\n\r\n",
+        b"HTTP/1.1 403 patient-17\r\n\r\n",
+    ],
+)
+async def test_the_reason_of_a_failed_call_quotes_nothing_of_its_answer(answer: bytes) -> None:
+    """Guards against data of callers, and lines of any length, in the events 608 and 905."""
+
+    async def async_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(async_answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    member = Member(name="m1", domain="aug", host="127.0.0.1", port=port, control_port=port)
+    events: list[Event] = []
+    async with server, aiohttp.ClientSession() as session, asyncio.timeout(LIMIT_S):
+        await EndpointLinks(session, events.append).async_run(7, member)
+        platform = PlatformClient(f"http://127.0.0.1:{port}", session)
+        reply = await platform.async_call(GetKey(key="tickets/head"), timeout_ms=1_000)
+    assert isinstance(events[0], ConnectionClosed) and isinstance(reply, PlatformFailure)
+    assert events[0].reason and reply.reason
+    assert "patient" not in events[0].reason + reply.reason
