Bound the failures that a proxy logs

Cause: `write_spaced` leaves repetitions out only if its log has a clock, and the log of the proxy had none. Each failed event, and each request that is not HTTP, wrote a line. Change: the proxy gives its log a clock. Lines of JSON now have the time as `at_ms`, as those of the gateway. Callers saw: nothing; not measured under load. Result: test_a_malformed_http_request_is_logged_without_its_content now sends 15 such requests: 15 lines of event 911 before, 1 after. tests/test_processes.py: 16 passed, tests/test_events.py and tests/base: 10 passed.

--- a/libs/base/burdockrun_base/logs.py
+++ b/libs/base/burdockrun_base/logs.py
@@ -11,9 +11,13 @@
 from burdockrun_base.log_limits import LogRateLimiter
 
 
-def set_up_logs(log_format: str, *, without_prefix: bool = False) -> EventLog:
+def set_up_logs(
+    log_format: str, *, without_prefix: bool = False, clock: Clock | None = None
+) -> EventLog:
     """Send log events to standard error; with `json` each line is one JSON object.
 
+    With a clock, such lines have the time as `at_ms`, and `write_spaced` leaves lines out.
+
     Lines of text start with the time and the source location, unless `without_prefix` is set.
     """
     # Otherwise absl logs a warning before the first event, as its flags are not parsed.
@@ -23,7 +27,7 @@
     if without_prefix or log_format == FORMAT_JSON:
         handler = logging.get_absl_handler()
         handler.setFormatter(standard_logging.Formatter("%(message)s"))
-    return EventLog(log_format)
+    return EventLog(log_format, clock=clock)
 
 
 def set_up_rate_limited_logs(clock: Clock, common: Mapping[str, object]) -> EventLog:
--- a/libs/proxy/burdockrun_proxy/program.py
+++ b/libs/proxy/burdockrun_proxy/program.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 from aiohttp import web
-from burdockrun_base import Application, EventLog, Metrics, set_up_logs
+from burdockrun_base import Application, EventLog, Metrics, SystemClock, set_up_logs
 from burdockrun_fleet import TicketFunctions
 from burdockrun_messages import DrainExpired, DrainRequested, NodeInfo
 from burdockrun_platform import PlatformClient
@@ -45,7 +45,7 @@
         print(loaded.err_value, file=sys.stderr)
         return EXIT_BAD_SETTINGS
     settings = loaded.ok_value
-    events = set_up_logs(arguments.log_format or settings.log_format)
+    events = set_up_logs(arguments.log_format or settings.log_format, clock=SystemClock())
     try:
         return asyncio.run(async_serve(settings, events))
     except OSError as error:
--- a/script/events.py
+++ b/script/events.py
@@ -19,7 +19,8 @@
 # Log events
 
 Each log event has a number that never changes its meaning. With `--log-format json` a line is one JSON object with `event`
-(the number), `name` and the fields of the event; with `text` it is `[number] name field=value ...`.
+(the number), `name` and the fields of the event, at proxies and gateways also the time as `at_ms`; with `text` it is
+`[number] name field=value ...`. Repetitions of events 910 and 911 are left out for up to 10 s; `repeated` or `left_out` counts them.
 
 `script/events` writes this page from the code and keeps the column "what to do"; `tests/test_events.py` checks that
 they agree. Numbers: settings 1xx, sessions 2xx, routing 3xx, admission 4xx, failover 5xx, fleet 6xx, platform 7xx,
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -131,16 +131,16 @@
 
 
 def test_a_malformed_http_request_is_logged_without_its_content(cluster: Cluster) -> None:
-    """Guards against tokens and statements of callers in a log, and lines that are no JSON."""
+    """Guards against data of callers in a log, lines that are no JSON, and floods of lines."""
     address = (HOST, cluster.proxies[0].port)
-    for line in (b"Author ization: se\tcret-4711", b"X: secret-4711\0", b"secret-4711"):
+    for line in (b"Author ization: se\tcret-4711", b"X: secret-4711\0", b"secret-4711") * 5:
         with socket.create_connection(address, timeout=5) as connection:
             connection.sendall(b"POST /v1/statements HTTP/1.1\r\nHost: x\r\n" + line + b"\r\n\r\n")
             assert b" 400 " in connection.recv(200)
     log = cluster.processes["node-1"].log.read_text()
     assert "4711" not in log
     events = [json.loads(line) for line in log.splitlines()]
-    assert 911 in [event["event"] for event in events]
+    assert [event["event"] for event in events].count(911) == 1
 
 
 def test_invalid_settings_are_reported_with_all_findings() -> None:
