Take an answer of a member with numbers out of range for none

Cause: answers of members had no bounds. A lag or position of several hundred digits raised OverflowError when the rates of the member were computed, in the handler of the answer, so that the rest of it was not handled. Change: terms, indexes, counts and times in `ExecuteAnswer`, `MemberStatus` and `Settled` are from 0 to 2**63-1. Callers saw: read only; an answer whose handling stops there leaves its caller to the deadline.

--- a/libs/messages/burdockrun_messages/endpoints.py
+++ b/libs/messages/burdockrun_messages/endpoints.py
@@ -1,12 +1,31 @@
 """Messages between a proxy and a database member."""
 
 from dataclasses import dataclass
+from typing import Annotated
 
 from burdockrun_base import LogPosition
-
-from burdockrun_messages.const import Access, ExecuteStatus, MemberRole, TransactionStep
+from pydantic import AfterValidator, Field
+
+from burdockrun_messages.const import (
+    MAX_COUNT,
+    Access,
+    ExecuteStatus,
+    MemberRole,
+    TransactionStep,
+)
 from burdockrun_messages.models import JsonValue
 
+Count = Annotated[int, Field(ge=0, le=MAX_COUNT)]
+
+
+def _check_position(position: LogPosition) -> LogPosition:
+    if not (0 <= position.term <= MAX_COUNT and 0 <= position.index <= MAX_COUNT):
+        raise ValueError("term or index out of range")
+    return position
+
+
+MemberPosition = Annotated[LogPosition, AfterValidator(_check_position)]
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Execute:
@@ -35,13 +54,13 @@
     that the result was recorded by an earlier execution of the same request.
     """
 
-    execution_id: int
+    execution_id: Count
     status: ExecuteStatus
-    position: LogPosition
+    position: MemberPosition
     result: JsonValue = None
     message: str = ""
-    lag_ms: int | None = None
-    confirmed_index: int = 0
+    lag_ms: Count | None = None
+    confirmed_index: Count = 0
     repeated: bool = False
 
 
@@ -57,14 +76,14 @@
     """
 
     member: str
-    term: int
+    term: Count
     role: MemberRole
-    position: LogPosition
-    lag_ms: int | None = None
-    upstream_silent_ms: int | None = None
-    confirmed_index: int = 0
-    pending: int = 0
-    completed: int = 0
+    position: MemberPosition
+    lag_ms: Count | None = None
+    upstream_silent_ms: Count | None = None
+    confirmed_index: Count = 0
+    pending: Count = 0
+    completed: Count = 0
     fresh: bool = False
 
 
@@ -125,7 +144,7 @@
     """Result of `Settle`; when `ran` is false, the request has not run and never will."""
 
     ran: bool
-    position: LogPosition
+    position: MemberPosition
     result: JsonValue = None
 
 
