Do not follow a member to a term that no promotion can exceed

Cause: a promotion takes a term above the highest that any member has told. After one status with term 2**63-1 the next promotion used 2**63, which no answer of a member may carry since its numbers are bounded, so that no member counted as fenced. Change: a status with a term beyond half of the bound raises no term of a promotion, and ends no attempt. Callers saw: nothing; only on a member with a defect.

--- a/libs/failover/burdockrun_failover/const.py
+++ b/libs/failover/burdockrun_failover/const.py
@@ -3,9 +3,13 @@
 from typing import Final
 
 from burdockrun_base import Level, define_event
+from burdockrun_messages import MAX_COUNT
 
 RECORD_KEY_PREFIX: Final = "groups/"
 MAX_TERM_STARTS: Final = 16
+# A member that tells a later term is not believed: a promotion beyond it could reach `MAX_COUNT`,
+# past which no answer of a member is understood.
+MAX_BELIEVED_TERM: Final = MAX_COUNT // 2
 
 PROBES_PER_SECOND: Final = 8
 PROBE_INTERVAL_MIN_MS: Final = 200
--- a/libs/failover/burdockrun_failover/promotion.py
+++ b/libs/failover/burdockrun_failover/promotion.py
@@ -24,6 +24,7 @@
     CONFIRM_TIMEOUT_MS,
     CONTROL_RETRY_MS,
     FENCE_RETRY_MAX_MS,
+    MAX_BELIEVED_TERM,
     MEMBER_CHOSEN,
     PRIMARY_FENCE_MS,
     PROMOTION_STARTED,
@@ -233,6 +234,8 @@
     def _receive(self, member: str, status: MemberStatus, now_ms: int) -> None:
         if self._is_verifying or self.phase in (Phase.CLAIM, Phase.ACTIVATE, Phase.ENDED):
             return
+        if status.term > max(self.plan.term, MAX_BELIEVED_TERM):
+            return
         if status.term > self.plan.term:
             self.highest_seen_term = status.term
             self._end(PromotionEnd.SUPERSEDED, self._claimed, now_ms)
--- a/libs/failover/burdockrun_failover/supervisor.py
+++ b/libs/failover/burdockrun_failover/supervisor.py
@@ -19,6 +19,7 @@
 from burdockrun_failover.changes import PlannedChange
 from burdockrun_failover.const import (
     LEAD_ORDER_DELAY_MS,
+    MAX_BELIEVED_TERM,
     PAUSE_DETECTION_MS,
     PROMOTION_LOST,
     PROMOTION_STALLED,
@@ -118,7 +119,8 @@
             self._advisor.note(status, now_ms)
         record = self.record
         if record is not None and status.term > record.term:
-            self._highest_seen_term = max(self._highest_seen_term, status.term)
+            if status.term <= MAX_BELIEVED_TERM:
+                self._highest_seen_term = max(self._highest_seen_term, status.term)
             if self._attempt is None:
                 self._reader.invalidate_later(now_ms)
 
--- a/libs/messages/burdockrun_messages/__init__.py
+++ b/libs/messages/burdockrun_messages/__init__.py
@@ -24,6 +24,7 @@
 )
 from burdockrun_messages.const import (
     MAX_BODY_BYTES,
+    MAX_COUNT,
     MAX_DEADLINE_MS,
     MAX_NAME_LENGTH,
     Access,
@@ -129,6 +130,7 @@
 
 __all__ = [
     "MAX_BODY_BYTES",
+    "MAX_COUNT",
     "MAX_DEADLINE_MS",
     "MAX_NAME_LENGTH",
     "Access",
--- a/tests/proxy/test_member_borders.py
+++ b/tests/proxy/test_member_borders.py
@@ -4,12 +4,14 @@
 from collections import Counter
 from collections.abc import Iterator, Sequence
 from contextlib import ExitStack, contextmanager
+from itertools import repeat
 from typing import Any, get_type_hints
 from unittest.mock import patch
 
 import pytest
 from burdockrun_bench.node_host import NodeHost
 from burdockrun_messages import (
+    MAX_COUNT,
     Access,
     Action,
     AskStatus,
@@ -34,7 +36,7 @@
 from hypothesis import strategies as st
 from result import Err
 
-from tests.proxy.common import SERVICE, VirtualDeployment
+from tests.proxy.common import DATABASE, SERVICE, VirtualDeployment
 
 # The deployment goes on after each example, so that a failed one cannot be reduced.
 SETTINGS = settings(
@@ -187,3 +189,20 @@
     for node in nodes:
         assert deployment.execute(node, "PUT key 2").outcome is Outcome.DONE
         assert deployment.execute(node, "GET key").result == "2"
+
+
+def test_a_term_that_no_promotion_can_exceed_does_not_end_promotions() -> None:
+    """Guards against a database without a primary since a member has once told an absurd term."""
+    deployment = VirtualDeployment(checks=False)
+    primary = deployment.cluster.find_primary(DATABASE)
+    assert primary is not None
+    # Changed answers are decoded as those of real members are.
+    odd, sound = {"term": MAX_COUNT}, dict[str, Any]()
+    changes: list[Change] = [*repeat(odd, 6), *repeat(sound, 10_000)]
+    with change_answers(deployment, changes):
+        deployment.run(1_000)
+        primary.kill()
+        deployment.run(5_000)
+        node = next(one for one in deployment.cluster.nodes if one.info.domain != "aug")
+        answer = deployment.execute(node, "PUT key 1", deadline_ms=3_000)
+    assert answer.outcome is Outcome.DONE
