Refuse values that another node could not read

Cause: the codec reads 200 levels of lists and objects for a whole message. A parameter or a result near that depth was accepted, but the `Forward` or `ForwardAnswer` that passes it on has more levels; the node that got it dropped it. NaN and numbers beyond a double were accepted and passed on as null. Change: values of callers and members have at most 100 levels and finite numbers; of a caller they are refused as bad_request, of a member they are no answer. Callers saw: no answer until the deadline, then `unknown`, when the home is another node (read only; the test shows the message that cannot be read); null in place of a number.

--- a/libs/messages/burdockrun_messages/const.py
+++ b/libs/messages/burdockrun_messages/const.py
@@ -6,6 +6,8 @@
 MAX_BODY_BYTES: Final = 256 * 1024
 MAX_DEADLINE_MS: Final = 600_000
 MAX_NAME_LENGTH: Final = 200
+# Levels of lists and objects in a value. The codec reads 200 for a whole message.
+MAX_VALUE_DEPTH: Final = 100
 # Largest term, index, number or time in ms; larger ones overflow when rates are computed.
 MAX_COUNT: Final = 2**63 - 1
 
--- a/libs/messages/burdockrun_messages/endpoints.py
+++ b/libs/messages/burdockrun_messages/endpoints.py
@@ -13,7 +13,7 @@
     MemberRole,
     TransactionStep,
 )
-from burdockrun_messages.models import JsonValue
+from burdockrun_messages.models import JsonValue, PassedValue
 
 Count = Annotated[int, Field(ge=0, le=MAX_COUNT)]
 
@@ -57,7 +57,7 @@
     execution_id: Count
     status: ExecuteStatus
     position: MemberPosition
-    result: JsonValue = None
+    result: PassedValue = None
     message: str = ""
     lag_ms: Count | None = None
     confirmed_index: Count = 0
@@ -145,7 +145,7 @@
 
     ran: bool
     position: MemberPosition
-    result: JsonValue = None
+    result: PassedValue = None
 
 
 ControlOperation = AskStatus | Fence | Promote | Follow | AwaitConfirmed | Settle
--- a/libs/messages/burdockrun_messages/models.py
+++ b/libs/messages/burdockrun_messages/models.py
@@ -1,16 +1,41 @@
 """Types that several messages share: configuration, group records and node addresses."""
 
 from dataclasses import dataclass, field
+from math import isfinite
+from typing import Annotated
 
 import pydantic
 from burdockrun_base import Rank
 
-from burdockrun_messages.const import AckRule, GroupState
+from burdockrun_messages.const import MAX_VALUE_DEPTH, AckRule, GroupState
 
 # With a recursive alias defined here, pydantic raises RecursionError when it builds a codec.
 JsonValue = pydantic.JsonValue
 
 
+def _check_value(value: JsonValue) -> JsonValue:
+    """Refuse a value that another node could not read, or would read as another one."""
+    if value is None or isinstance(value, str | int):
+        return value
+    level: list[JsonValue] = [value]
+    for _ in range(MAX_VALUE_DEPTH + 1):
+        inner: list[JsonValue] = []
+        for item in level:
+            if isinstance(item, float) and not isfinite(item):
+                raise ValueError("a number is too large or none")
+            if isinstance(item, list):
+                inner.extend(item)
+            elif isinstance(item, dict):
+                inner.extend(item.values())
+        if not inner:
+            return value
+        level = inner
+    raise ValueError(f"nested in more than {MAX_VALUE_DEPTH} levels")
+
+
+PassedValue = Annotated[JsonValue, pydantic.AfterValidator(_check_value)]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Member:
     """Endpoint that serves a database."""
--- a/libs/messages/burdockrun_messages/requests.py
+++ b/libs/messages/burdockrun_messages/requests.py
@@ -13,7 +13,7 @@
     Outcome,
     TransactionStep,
 )
-from burdockrun_messages.models import JsonValue
+from burdockrun_messages.models import JsonValue, PassedValue
 
 Name = Annotated[str, Field(min_length=1, max_length=MAX_NAME_LENGTH)]
 
@@ -31,7 +31,7 @@
     database: Name
     statement: str
     access: Access
-    parameters: tuple[JsonValue, ...] = ()
+    parameters: tuple[PassedValue, ...] = ()
     rank: str | None = None
     deadline_ms: Annotated[int, Field(ge=0, le=MAX_DEADLINE_MS)] = 5_000
     idempotent: bool = False
--- a/tests/proxy/test_borders.py
+++ b/tests/proxy/test_borders.py
@@ -8,16 +8,27 @@
 
 import pytest
 from burdockrun_messages import (
+    ExecuteAnswer,
+    Forward,
+    ForwardAnswer,
+    ForwardStatus,
     JsonValue,
+    NodeInfo,
+    Outcome,
     PeerMessage,
     PeerReceived,
+    Settled,
+    StatementAnswer,
+    StatementRequest,
+    TaggedPeerMessage,
     TimerFired,
     decode_message,
+    decode_union,
     encode_message,
 )
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
-from result import Err
+from result import Err, Ok
 
 from tests.proxy.common import VirtualDeployment
 
@@ -83,3 +94,52 @@
 
     explore()
     assert seen
+
+
+def nest(depth: int) -> str:
+    """Return a value with lists inside of each other."""
+    return "[" * depth + "1" + "]" * depth
+
+
+@pytest.mark.parametrize(
+    "value", [nest(depth) for depth in (1, 50, *range(94, 104), *range(190, 204))]
+)
+def test_a_value_that_is_accepted_can_be_passed_on(value: str) -> None:
+    """Guards against a value that a proxy accepts and the next one cannot read.
+
+    Its caller then waits until the deadline, and hears `unknown`.
+    """
+    body = (
+        '{"request_id":"q","account":"bayern","database":"wendedb","statement":"PUT k ?",'
+        f'"access":"write","parameters":[{value}]}}'
+    )
+    request = decode_message(StatementRequest, body)
+    if isinstance(request, Ok):
+        sender = NodeInfo(node="p1", domain="aug", host="127.0.0.1", port=1)
+        forward = Forward(
+            forward_id=1, member="m", request=request.ok_value, deadline_ms=9, sender=sender
+        )
+        assert decode_union(TaggedPeerMessage, encode_message(forward)).is_ok()
+    answer = decode_message(
+        ExecuteAnswer,
+        f'{{"execution_id":1,"status":"ok","position":{{"term":1,"index":1}},"result":{value}}}',
+    )
+    assert isinstance(answer, Ok) is isinstance(request, Ok) is (len(value) <= 2 * 100 + 1)
+    if isinstance(answer, Ok):
+        done = StatementAnswer(request_id="q", outcome=Outcome.DONE, result=answer.ok_value.result)
+        reply = ForwardAnswer(forward_id=1, status=ForwardStatus.ANSWERED, answer=done)
+        assert decode_union(TaggedPeerMessage, encode_message(reply)).is_ok()
+
+
+@pytest.mark.parametrize("value", ["NaN", "Infinity", "-1e400", "[[1e400]]", '{"a": NaN}'])
+def test_a_number_that_cannot_be_passed_on_is_refused(value: str) -> None:
+    """Guards against a value that is changed to null on its way."""
+    body = (
+        '{"request_id":"q","account":"bayern","database":"wendedb","statement":"PUT k ?",'
+        f'"access":"write","parameters":[{value}]}}'
+    )
+    assert decode_message(StatementRequest, body).is_err()
+    position = '"position":{"term":1,"index":1}'
+    answer = f'{{"execution_id":1,"status":"ok",{position},"result":{value}}}'
+    assert decode_message(ExecuteAnswer, answer).is_err()
+    assert decode_message(Settled, f'{{"ran":true,{position},"result":{value}}}').is_err()
