Forget a request only once its answer is complete

Cause: the entry removed a request, then built its session token, whose codec raises for a position of more than 64 bits. The same numbers in an answer of a peer had no bounds, nor had its lag. Change: the request is removed last; if that fails its caller gets `unknown` at the deadline. Positions, lags, terms and indexes in messages of peers are from 0 to 2**63-1, as those of members. Callers saw: read only; a caller whose answer carried such a position got none at all. Result: test_an_answer_that_raises_leaves_its_caller_to_the_deadline (no answer) and the 12 cases of test_an_answer_of_a_peer_with_odd_numbers_leaves_no_caller_without_an_answer fail before (TypeError, OverflowError, or an odd number told to the caller) and pass. tests/proxy and tests/failover: 165 passed, tests/fleet, load, endpoint, sessions and routing: 169, tests/test_processes.py and tests/control: 38.

--- a/libs/messages/burdockrun_messages/endpoints.py
+++ b/libs/messages/burdockrun_messages/endpoints.py
@@ -1,30 +1,11 @@
 """Messages between a proxy and a database member."""
 
 from dataclasses import dataclass
-from typing import Annotated
 
 from burdockrun_base import LogPosition
-from pydantic import AfterValidator, Field
 
-from burdockrun_messages.const import (
-    MAX_COUNT,
-    Access,
-    ExecuteStatus,
-    MemberRole,
-    TransactionStep,
-)
-from burdockrun_messages.models import JsonValue, PassedValue
-
-Count = Annotated[int, Field(ge=0, le=MAX_COUNT)]
-
-
-def _check_position(position: LogPosition) -> LogPosition:
-    if not (0 <= position.term <= MAX_COUNT and 0 <= position.index <= MAX_COUNT):
-        raise ValueError("term or index out of range")
-    return position
-
-
-MemberPosition = Annotated[LogPosition, AfterValidator(_check_position)]
+from burdockrun_messages.const import Access, ExecuteStatus, MemberRole, TransactionStep
+from burdockrun_messages.models import Count, JsonValue, KnownPosition, PassedValue
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -56,7 +37,7 @@
 
     execution_id: Count
     status: ExecuteStatus
-    position: MemberPosition
+    position: KnownPosition
     result: PassedValue = None
     message: str = ""
     lag_ms: Count | None = None
@@ -78,7 +59,7 @@
     member: str
     term: Count
     role: MemberRole
-    position: MemberPosition
+    position: KnownPosition
     lag_ms: Count | None = None
     upstream_silent_ms: Count | None = None
     confirmed_index: Count = 0
@@ -144,7 +125,7 @@
     """Result of `Settle`; when `ran` is false, the request has not run and never will."""
 
     ran: bool
-    position: MemberPosition
+    position: KnownPosition
     result: PassedValue = None
 
 
--- a/libs/messages/burdockrun_messages/models.py
+++ b/libs/messages/burdockrun_messages/models.py
@@ -5,9 +5,9 @@
 from typing import Annotated
 
 import pydantic
-from burdockrun_base import Rank
+from burdockrun_base import LogPosition, Rank
 
-from burdockrun_messages.const import MAX_VALUE_DEPTH, AckRule, GroupState
+from burdockrun_messages.const import MAX_COUNT, MAX_VALUE_DEPTH, AckRule, GroupState
 
 # With a recursive alias defined here, pydantic raises RecursionError when it builds a codec.
 JsonValue = pydantic.JsonValue
@@ -34,6 +34,16 @@
 
 
 PassedValue = Annotated[JsonValue, pydantic.AfterValidator(_check_value)]
+Count = Annotated[int, pydantic.Field(ge=0, le=MAX_COUNT)]
+
+
+def _check_position(position: LogPosition) -> LogPosition:
+    if not (0 <= position.term <= MAX_COUNT and 0 <= position.index <= MAX_COUNT):
+        raise ValueError("term or index out of range")
+    return position
+
+
+KnownPosition = Annotated[LogPosition, pydantic.AfterValidator(_check_position)]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/libs/messages/burdockrun_messages/peers.py
+++ b/libs/messages/burdockrun_messages/peers.py
@@ -4,10 +4,9 @@
 from enum import StrEnum
 from typing import Annotated, Literal
 
-from burdockrun_base import LogPosition
 from pydantic import Field
 
-from burdockrun_messages.models import GroupRecord, NodeInfo
+from burdockrun_messages.models import Count, GroupRecord, KnownPosition, NodeInfo
 from burdockrun_messages.requests import StatementAnswer, StatementRequest
 
 
@@ -42,8 +41,8 @@
     request: StatementRequest
     deadline_ms: int
     sender: NodeInfo
-    required: LogPosition | None = None
-    max_lag_ms: int | None = None
+    required: KnownPosition | None = None
+    max_lag_ms: Count | None = None
     waited_out_gap: bool = False
     kind: Literal["forward"] = "forward"
 
@@ -55,8 +54,8 @@
     forward_id: int
     status: ForwardStatus
     answer: StatementAnswer | None = None
-    position: LogPosition | None = None
-    lag_ms: int | None = None
+    position: KnownPosition | None = None
+    lag_ms: Count | None = None
     record: GroupRecord | None = None
     kind: Literal["forward_answer"] = "forward_answer"
 
@@ -245,7 +244,7 @@
     primary: str
     observer: str
     failed: bool
-    position: LogPosition | None = None
+    position: KnownPosition | None = None
     kind: Literal["verdict"] = "verdict"
 
 
--- a/libs/messages/burdockrun_messages/requests.py
+++ b/libs/messages/burdockrun_messages/requests.py
@@ -13,7 +13,7 @@
     Outcome,
     TransactionStep,
 )
-from burdockrun_messages.models import JsonValue, PassedValue
+from burdockrun_messages.models import Count, JsonValue, PassedValue
 
 Name = Annotated[str, Field(min_length=1, max_length=MAX_NAME_LENGTH)]
 
@@ -52,8 +52,8 @@
     result: JsonValue = None
     session: str | None = None
     member: str | None = None
-    term: int | None = None
-    index: int | None = None
+    term: Count | None = None
+    index: Count | None = None
     transaction: str | None = None
     retry_after_ms: int | None = None
     alternatives: tuple[str, ...] = ()
--- a/libs/proxy/burdockrun_proxy/entry.py
+++ b/libs/proxy/burdockrun_proxy/entry.py
@@ -431,13 +431,14 @@
         self._finish(pending, refuse(pending.request, code, message), now_ms)
 
     def _finish(self, pending: PendingRequest, answer: StatementAnswer, now_ms: int) -> None:
-        del self._pending[pending.pending_id]
-        self._limiter.release(pending.request.account)
         if answer.outcome is Outcome.NOT_RUN and pending.maybe_ran:
             answer = self._mark_unknown(pending, answer)
         if answer.outcome is Outcome.DONE and not is_write(pending.request):
             self._count_read(pending, answer)
         answer = replace(answer, session=self._build_session(pending, answer))
+        # Only now, so that an error above leaves the caller with an answer at the deadline.
+        del self._pending[pending.pending_id]
+        self._limiter.release(pending.request.account)
         self._outbox.count(f"outcome.{answer.outcome}")
         self._outbox.time(f"latency.{pending.rank}", now_ms - pending.arrived_ms)
         self._outbox.add(SendAnswer(caller_id=pending.caller_id, answer=answer))
--- a/tests/proxy/test_borders.py
+++ b/tests/proxy/test_borders.py
@@ -5,18 +5,24 @@
 from enum import Enum
 from types import UnionType
 from typing import Annotated, Any, Literal, Union, get_args, get_origin, get_type_hints
+from unittest.mock import patch
 
 import pytest
 from burdockrun_messages import (
+    Action,
     ExecuteAnswer,
     Forward,
     ForwardAnswer,
     ForwardStatus,
     JsonValue,
+    LogPosition,
     NodeInfo,
     Outcome,
     PeerMessage,
     PeerReceived,
+    RequestReceived,
+    SendAnswer,
+    SendPeer,
     Settled,
     StatementAnswer,
     StatementRequest,
@@ -26,6 +32,7 @@
     decode_union,
     encode_message,
 )
+from burdockrun_sessions import TokenCodec
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from result import Err, Ok
@@ -36,7 +43,7 @@
     derandomize=True, deadline=None, max_examples=200, suppress_health_check=list(HealthCheck)
 )
 SIMPLE: dict[Any, st.SearchStrategy[Any]] = {
-    int: st.one_of(st.integers(-3, 8), st.sampled_from([2**31, 2**63, 10**30, -(10**30)])),
+    int: st.one_of(st.integers(-3, 8), st.sampled_from([2**31, 2**63, 10**30, -(10**30), 10**400])),
     str: st.one_of(st.sampled_from(["", "é", "wendedb-0", "muc-nord"]), st.text(max_size=8)),
     bool: st.booleans(),
     JsonValue: st.one_of(st.none(), st.integers(), st.text(max_size=4)),
@@ -74,6 +81,12 @@
     return VirtualDeployment()
 
 
+@pytest.fixture(scope="module")
+def sound_deployment() -> VirtualDeployment:
+    """Return a deployment whose nodes get no odd messages of other kinds."""
+    return VirtualDeployment()
+
+
 @pytest.mark.parametrize("kind", get_args(PeerMessage), ids=lambda kind: kind.__name__)
 def test_any_message_of_a_peer_is_handled(deployment: VirtualDeployment, kind: Any) -> None:
     """Guards against a message of another version, or a damaged one, that stops a proxy."""
@@ -96,6 +109,67 @@
     assert seen
 
 
+def find_forward(actions: list[Action]) -> Forward:
+    """Return the only request that is passed on."""
+    sent = [one.message for one in actions if isinstance(one, SendPeer)]
+    (forward,) = [message for message in sent if isinstance(message, Forward)]
+    return forward
+
+
+@pytest.mark.parametrize("number", [-1, 2**63, 10**30, 10**400])
+@pytest.mark.parametrize("place", ["index", "lag_ms", "position"])
+def test_an_answer_of_a_peer_with_odd_numbers_leaves_no_caller_without_an_answer(
+    sound_deployment: VirtualDeployment, place: str, number: int
+) -> None:
+    """Guards against a request that is forgotten before its caller has the answer."""
+    deployment = sound_deployment
+    deployment.run(1_000)
+    node, now_ms = deployment.cluster.nodes[0].node, deployment.cluster.loop.now_ms
+    request = deployment.build("PUT k 1", deadline_ms=500)
+    event = RequestReceived(caller_id=5, request=request)
+    forward = find_forward(node.handle(event, now_ms))
+    done = StatementAnswer(
+        request_id=request.request_id,
+        outcome=Outcome.DONE,
+        term=1,
+        index=number if place == "index" else 1,
+    )
+    reply = ForwardAnswer(
+        forward_id=forward.forward_id,
+        status=ForwardStatus.ANSWERED,
+        answer=done,
+        position=LogPosition(term=1, index=number if place == "position" else 1),
+        lag_ms=number if place == "lag_ms" else 1,
+    )
+    decoded = decode_union(TaggedPeerMessage, encode_message(reply))
+    if isinstance(decoded, Ok):
+        node.handle(PeerReceived(peer="vm2", message=decoded.ok_value), now_ms + TICK_MS + 10)
+    actions = node.handle(TimerFired(), now_ms + 501)
+    answers = [one for one in actions if isinstance(one, SendAnswer)]
+    assert [one.caller_id for one in answers] == [5]
+    assert answers[0].answer.outcome is Outcome.UNKNOWN
+
+
+def test_an_answer_that_raises_leaves_its_caller_to_the_deadline(
+    sound_deployment: VirtualDeployment,
+) -> None:
+    """Guards against a request that is forgotten before its caller has the answer."""
+    deployment = sound_deployment
+    deployment.run(1_000)
+    node, now_ms = deployment.cluster.nodes[0].node, deployment.cluster.loop.now_ms
+    request = deployment.build("PUT k 1", deadline_ms=500)
+    with patch.object(TokenCodec, "encode", side_effect=TypeError):
+        forward = find_forward(node.handle(RequestReceived(caller_id=5, request=request), now_ms))
+        done = StatementAnswer(request_id=request.request_id, outcome=Outcome.DONE)
+        reply = ForwardAnswer(
+            forward_id=forward.forward_id, status=ForwardStatus.ANSWERED, answer=done
+        )
+        with pytest.raises(TypeError):
+            node.handle(PeerReceived(peer="vm2", message=reply), now_ms + 10)
+    actions = node.handle(TimerFired(), now_ms + 501)
+    assert [one.caller_id for one in actions if isinstance(one, SendAnswer)] == [5]
+
+
 def nest(depth: int) -> str:
     """Return a value with lists inside of each other."""
     return "[" * depth + "1" + "]" * depth
