Pass on the transactions that wait at a home when its drain starts

Cause: a home that drains passes on each begin that arrives, but those in its queue began there later, as slots became free, and the drain waited for their ends. Change: at the start of the drain they are returned as not run to their entries, which use the standby. Callers saw: a drain that takes as long as such transactions, up to its time-out, which ends them; read only. Result: test_a_transaction_that_waits_at_a_home_does_not_begin_there_during_its_drain (of another node's caller and of an own one) fails before (its id names the node that drains) and passes. tests/proxy/test_node.py: 27 passed, test_home.py and test_driver.py pass, tests/test_processes.py: 16 passed.

--- a/libs/proxy/burdockrun_proxy/home.py
+++ b/libs/proxy/burdockrun_proxy/home.py
@@ -246,11 +246,20 @@
         for request in self._parked.take_all():
             self._reply(request, HomeReply(status=ForwardStatus.NOT_HOME), now_ms)
 
+    def return_begins(self, now_ms: int) -> None:
+        """Return queued begins of transactions to their senders because this node drains."""
+        for work_id, request in tuple(self._waiting.items()):
+            if request.request.step is TransactionStep.BEGIN:
+                self._return(work_id, ForwardStatus.NOT_HOME, now_ms)
+
     def _return_waiting(self, status: ForwardStatus, now_ms: int) -> None:
         for work_id in tuple(self._waiting):
-            request = self._waiting.pop(work_id)
-            self._scheduler.cancel(work_id)
-            self._reply(request, HomeReply(status=status), now_ms)
+            self._return(work_id, status, now_ms)
+
+    def _return(self, work_id: int, status: ForwardStatus, now_ms: int) -> None:
+        request = self._waiting.pop(work_id)
+        self._scheduler.cancel(work_id)
+        self._reply(request, HomeReply(status=status), now_ms)
 
     def _is_primary(self) -> bool:
         record = self.record
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -267,6 +267,9 @@
         self._entry.draining = True
         self._outbox.log(PROXY_DRAINING, in_flight=self._entry.in_flight)
         self.fleet.drain(now_ms)
+        # A transaction that begins now could delay the end of the drain.
+        for home in self._homes:
+            home.return_begins(now_ms)
 
     @_handlers.register("DrainExpired")
     def _end_drain(self, event: DrainExpired, now_ms: int) -> None:
@@ -321,7 +324,6 @@
         home = self._homes.find(member)
         if home is None or self._has_ended:
             return False
-        # A transaction that begins now could delay the end of the drain.
         if self._draining and request.request.step is TransactionStep.BEGIN:
             return False
         home.accept(request, now_ms)
--- a/tests/proxy/test_node.py
+++ b/tests/proxy/test_node.py
@@ -282,6 +282,33 @@
     assert deployment.execute(other, "GET t").result is None
 
 
+@pytest.mark.parametrize("is_forwarded", [True, False])
+def test_a_transaction_that_waits_at_a_home_does_not_begin_there_during_its_drain(
+    is_forwarded: bool,
+) -> None:
+    """Guards against a drain that waits for transactions which began after it."""
+    deployment = VirtualDeployment()
+    move_primary_to(deployment, "nbg")
+    name = find_primary(deployment)
+    home = deployment.find_home(name)
+    entry = deployment.find_node("rgb") if is_forwarded else home
+    member = deployment.cluster.members[name]
+    member.member.queue.stuck = True
+    writes = [deployment.send(entry, deployment.build(f"PUT k{n} 1")) for n in range(20)]
+    begin = deployment.send(entry, deployment.build("BEGIN", step=TransactionStep.BEGIN))
+    deployment.run(50)
+    assert begin() is None
+    home.deliver(DrainRequested())
+    member.member.queue.stuck = False
+    member.deliver_due_answers()
+    deployment.run(4_000)
+    begun = begin()
+    assert begun is not None and begun.transaction is not None
+    assert not begun.transaction.startswith(f"{home.info.node}/")
+    written = [write() for write in writes]
+    assert all(one is not None and one.outcome is Outcome.DONE for one in written)
+
+
 def test_answers_equal_those_of_the_naive_baseline() -> None:
     """Guards against results that differ from those of direct access to the primary."""
     results = []
