Count prepared writes inside transactions as writes

Change: the shape that the connection has under the name decides. Result: test_a_later_write_of_a_transaction_does_not_count_as_a_read fails before for EXECUTE (not for WRITE) and passes. What callers saw, a limit from wrong usual times of reads, is read, not measured.

--- a/libs/gateway/burdockrun_gateway/home_queue.py
+++ b/libs/gateway/burdockrun_gateway/home_queue.py
@@ -231,7 +231,7 @@
             return work_id
         work_id = next(self._work_ids)
         rank, _ = self._ranks.find(link.priority.rank)
-        writes = any(one.kind is StatementKind.WRITE for one in statements)
+        writes = any(_is_write(link, one) for one in statements)
         kind = WorkKind(rank=rank.name, writes=writes)
         self._queue.start_in_transaction(work_id, link.connection_id, self._clock.now_ms(), kind)
         return work_id
@@ -378,6 +378,14 @@
         self.run()
 
 
+def _is_write(link: MemberLink, statement: Statement) -> bool:
+    """Return whether a statement for a connection changes data."""
+    if statement.kind is not StatementKind.EXECUTE:
+        return statement.kind is StatementKind.WRITE
+    shape = link.state.prepared.get(statement.name)
+    return shape is not None and shape.writes
+
+
 def _find_outcome(statements: Sequence[Statement], answers: Sequence[Answer]) -> Outcome:
     errors = {answer.error for answer in answers if answer.error is not None}
     if not errors:
--- a/tests/gateway/test_home_queue.py
+++ b/tests/gateway/test_home_queue.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import pytest
+from burdockrun_admission import ConcurrencyLimit, WorkKind
 from burdockrun_base import Application, ManualClock
 from burdockrun_gateway import HomeLoad, OpenedConnection, RequestPriority, SharedConnection
 from burdockrun_gateway.links import LinkLostError, MemberLink
@@ -12,12 +13,24 @@
 from burdockrun_gateway.ports import AcquireFault
 from burdockrun_gateway.service_ranks import build_service_ranks
 from burdockrun_groups import ConnectionPlan, Freshness, NodeEntry, Route
-from burdockrun_statements import Answer, ErrorCode, Statement, StatementKind, TransactionState
+from burdockrun_statements import (
+    Answer,
+    ErrorCode,
+    PreparedShape,
+    Statement,
+    StatementKind,
+    TransactionState,
+)
 from result import Err, Ok, Result
 
 from tests.groups.common import build_entry
 
 READ = Statement(kind=StatementKind.READ, request_id="q1", name="ward")
+WRITE = Statement(kind=StatementKind.WRITE, request_id="q2", name="ward", argument="v1")
+EXECUTE_READ = Statement(kind=StatementKind.EXECUTE, request_id="q3", name="r_q1", argument="ward")
+EXECUTE_WRITE = Statement(
+    kind=StatementKind.EXECUTE, request_id="q4", name="w_q1", argument="ward v1"
+)
 RESET = Statement(kind=StatementKind.RESET)
 SET = Statement(kind=StatementKind.SET, name="zone", argument="nbg")
 BEGIN = Statement(kind=StatementKind.BEGIN)
@@ -314,6 +327,32 @@
     assert await async_measure_wait(begins=True) == await async_measure_wait(begins=False)
 
 
+@pytest.mark.parametrize("write", [WRITE, EXECUTE_WRITE])
+async def test_a_later_write_of_a_transaction_does_not_count_as_a_read(
+    write: Statement, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a limit that takes the times of prepared writes for those of slow reads."""
+    started: list[bool] = []
+    start = ConcurrencyLimit.start
+
+    def record(
+        limit: ConcurrencyLimit, work_id: int, kind: WorkKind, *rest: Any, **named: Any
+    ) -> None:
+        started.append(kind.writes)
+        start(limit, work_id, kind, *rest, **named)
+
+    monkeypatch.setattr(ConcurrencyLimit, "start", record)
+    home = Home()
+    link = await home.async_acquire(begins=True)
+    link.state.add_prepared(EXECUTE_WRITE.name, PreparedShape(writes=True, shape="q1"))
+    link.state.add_prepared("r_q1", PreparedShape(writes=False, shape="q1"))
+    for statement in (BEGIN, READ, EXECUTE_READ, write):
+        link.send([statement])
+        home.opened[0].answer(OPEN)
+    assert started == [False, False, False, True]
+    home.pool.abort()
+
+
 async def test_an_open_transaction_goes_on_while_the_limit_is_used_up() -> None:
     """Guards against a transaction that waits, and lets others wait for its locks."""
     home = Home()
