--- a/tests/site/common.py
+++ b/tests/site/common.py
@@ -68,6 +68,10 @@
             if lines[-1].startswith("READY") or not lines[-1]:
                 return lines
 
+    async def async_read_bytes(self) -> bytes:
+        """Return everything up to the end of the connection."""
+        return await asyncio.wait_for(self._reader.read(), 5.0)
+
     def has_ended(self) -> bool:
         """Return whether the connection has ended and everything that was sent has been read."""
         return self._reader.at_eof()
--- a/tests/site/test_gateway.py
+++ b/tests/site/test_gateway.py
@@ -532,3 +532,19 @@
         )
         for writer in held:
             writer.close()
+
+
+async def test_a_database_name_may_have_any_characters() -> None:
+    """Guards against NODB for a route that is there, and a name that is taken for another one."""
+    names = ("z\u00fcrich", "\u5357", "z\u00c3\u00bcrich")
+    async with async_deploy(gateways=1) as deployment:
+        deployment.configure(2, databases=names[:2])
+        await deployment.async_follow(2)
+        for name in names[:2]:
+            client = await deployment.async_connect(name)
+            assert error_of(await client.async_query("READ ward")) == ""
+        client = await deployment.async_open()
+        assert await client.async_send(f"CONNECT {names[2]} u1") == [f"ERROR NODB {names[2]}", ""]
+        client = await deployment.async_open()
+        await client.async_write("CONNECT z\u00fcrich u1\r\n".encode("latin-1"))
+        assert (await client.async_read_bytes()).startswith(b"ERROR NODB ")
