--- a/tests/site/test_statement_texts.py
+++ b/tests/site/test_statement_texts.py
@@ -12,7 +12,7 @@
 from burdockrun_site.lines import MAX_ADDED_BYTES, MAX_MESSAGE_BYTES
 
 from tests.site.common import Client, Deployment, async_deploy, error_of
-from tests.site.members import ExecutedStatement, read_text
+from tests.site.members import ExecutedStatement, FakeMember, Session, read_text
 
 SHARED_CONNECTIONS = 4  # connections to each member, so that sessions share them
 NAMES = ("s1", "READ", "WRITE", "-", "w_q1", "r_q1", "p1", "1", "AFTER", "\t", "a\nb", "z\u00fcg")
@@ -30,6 +30,17 @@
     }
 
 
+def record_texts(member: FakeMember, received: list[str]) -> None:
+    """Add the texts of all queries that a member gets to a list."""
+    execute = member._execute
+
+    def record(session: Session, request_id: str, text: str) -> list[str]:
+        received.append(text)
+        return execute(session, request_id, text)
+
+    member._execute = record  # type: ignore[method-assign]
+
+
 @pytest.mark.parametrize("gateways", [1, 3])
 async def test_shapes_that_begin_alike_run_as_their_clients_prepared_them(gateways: int) -> None:
     """Guards against a shape whose blanks are read as the end of the name of a statement."""
@@ -175,3 +186,21 @@
         if not is_refused and "s2" in text:
             assert error_of(await client.async_query("EXECUTE s2 ward")) == ""
             assert len(list_runs(deployment)[client.last_id].shape) == size
+
+
+@pytest.mark.parametrize("spare", [0, MAX_ADDED_BYTES])
+async def test_a_begin_is_passed_on_whole_or_refused(spare: int) -> None:
+    """Guards against a BEGIN that a position makes too long for a member or home."""
+    async with async_deploy(3, SHARED_CONNECTIONS) as deployment:
+        received: list[str] = []
+        for member in deployment.members.values():
+            record_texts(member, received)
+        for gateway in range(3):
+            client = await deployment.async_connect("visits", gateway)
+            assert error_of(await client.async_query("WRITE ward v1")) == ""
+            request_id = "x" * (MAX_MESSAGE_BYTES - spare - len("QUERY  BEGIN READ"))
+            answer = await client.async_send(f"QUERY {request_id} BEGIN READ")
+            assert error_of(answer) == ("" if spare else "MALFORMED")
+            if spare:
+                assert error_of(await client.async_query("READ ward")) == ""
+        assert not spare or any(text.startswith("AFTER ") and "BEGIN" in text for text in received)
