--- a/tests/site/test_statement_texts.py
+++ b/tests/site/test_statement_texts.py
@@ -9,7 +9,9 @@
 from random import Random
 
 import pytest
+from burdockrun_gateway.const import SINGLE_CONNECTION_MS
 from burdockrun_site.lines import MAX_ADDED_BYTES, MAX_MESSAGE_BYTES
+from burdockrun_statements import session as session_module
 
 from tests.site.common import Client, Deployment, async_deploy, error_of
 from tests.site.members import ExecutedStatement, FakeMember, Session, read_text
@@ -30,6 +32,15 @@
     }
 
 
+def has_setup_refusals(deployment: Deployment) -> bool:
+    """Return whether a member has refused setup, as when it lacks a name that it should have.
+
+    Such statements are sent again, so their clients do not see it.
+    """
+    apps = [gateway._app for gateway in deployment.gateways]
+    return any(app.measurements.counters.get("setup_refusals") for app in apps)
+
+
 def record_texts(member: FakeMember, received: list[str]) -> None:
     """Add the texts of all queries that a member gets to a list."""
     execute = member._execute
@@ -94,8 +105,9 @@
     def _build(self) -> tuple[str, ExecutedStatement | None]:
         rng = self._rng
         name, text, item = rng.choice(NAMES), rng.choice(TEXTS), rng.choice(NAMES)
+        data = rng.choice([*TEXTS, ""])
         access = rng.choice(["READ", "WRITE"])
-        kind = rng.choice(["SET", "PREPARE", "PREPARE", *["EXECUTE"] * 4, access, "END"])
+        kind = rng.choice(["SET", "PREPARE", "PREPARE", *["EXECUTE"] * 4, access, "CLOSE", "END"])
         if kind == "END":
             word = "BEGIN" if self._state == "I" else rng.choice(["COMMIT", "ROLLBACK"])
             self._state = "T" if word == "BEGIN" else "I"
@@ -103,14 +115,19 @@
         if kind == "EXECUTE" and self._shapes:
             name = rng.choice(list(self._shapes))
             access, shape = self._shapes[name]
-            operand = f"{item} {text}" if access == "WRITE" else item
+            has_data = access == "WRITE" or rng.random() < 0.3
+            operand = f"{item} {data}" if has_data else item
             return self._expect(f"EXECUTE {name} {operand}", access, shape)
         if kind in {"READ", "WRITE"}:
-            operand = f"{item} {text}" if kind == "WRITE" else text.strip() or item
+            operand = f"{item} {data}" if kind == "WRITE" else text.lstrip()
             return self._expect(f"{kind} {operand}", kind, "")
+        if kind == "CLOSE" and self._shapes:
+            name = rng.choice(list(self._shapes))
+            del self._shapes[name]
+            return f"CLOSE {name}", None
         if kind == "SET":
-            self._values[name] = text
-            return f"SET {name} {text}", None
+            self._values[name] = data
+            return f"SET {name} {data}", None
         self._shapes[name] = access, text
         return f"PREPARE {name} {access} {text}", None
 
@@ -143,14 +160,34 @@
     await async_check_random_statements(Random(seed), gateways, rounds=25, most=12, together=3)
 
 
+@pytest.mark.parametrize("gateways", [1, 3])
+@pytest.mark.parametrize("seed", range(2))
+async def test_statements_run_as_they_were_sent_on_connections_that_are_reset(
+    seed: int, gateways: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a RESET of a full connection that clears what a statement needs."""
+    monkeypatch.setattr(session_module, "MAX_PREPARED_BYTES", 1_000)
+    received = await async_check_random_statements(Random(seed), gateways, rounds=60, most=12)
+    assert received.count("RESET") > 10
+
+
 async def async_check_random_statements(
     rng: Random, gateways: int, *, rounds: int, most: int, together: int = 1
-) -> None:
-    """Let `together` sessions send up to `most` statements each, and check what members ran."""
+) -> list[str]:
+    """Let `together` sessions send up to `most` statements each, and check what members ran.
+
+    Returns the texts that members got.
+    """
+    received: list[str] = []
     async with async_deploy(gateways, SHARED_CONNECTIONS) as deployment:
+        for member in deployment.members.values():
+            record_texts(member, received)
+        # A new pool has one connection at first.
+        await asyncio.sleep(2 * SINGLE_CONNECTION_MS / 1000)
         sessions = [
             RandomSession(
-                await deployment.async_connect("urgent", index % gateways), Random(rng.random())
+                await deployment.async_connect(rng.choice(["urgent", "visits"]), index % gateways),
+                Random(rng.random()),
             )
             for index in range(6)
         ]
@@ -167,6 +204,8 @@
         assert len(expected) > rounds // 4
         assert [runs.get(one.request_id) for one in expected] == expected
         assert len(runs) == len(expected)
+        assert not has_setup_refusals(deployment)
+    return received
 
 
 @pytest.mark.parametrize("text", ["READ {}", "PREPARE s2 READ {}", "EXECUTE s1 ward {}"])
