--- a/tests/site/test_gateway.py
+++ b/tests/site/test_gateway.py
@@ -548,3 +548,16 @@
         client = await deployment.async_open()
         await client.async_write("CONNECT z\u00fcrich u1\r\n".encode("latin-1"))
         assert (await client.async_read_bytes()).startswith(b"ERROR NODB ")
+
+
+@pytest.mark.parametrize("node", ["node 9", "\u5357"])
+async def test_a_node_of_any_name_connects_to_members_and_promotes(node: str) -> None:
+    """Guards against a name that a member reads as several fields, or that cannot be sent."""
+    async with async_deploy(gateways=1) as deployment:
+        gateway = await deployment.async_add_gateway(node)
+        await deployment.async_stop_gateway("node-1")
+        await deployment.async_wait_until(lambda: deployment.is_serving(gateway))
+        client = await deployment.async_connect("urgent", 1)
+        await deployment.members["a"].async_stop()
+        await deployment.async_query_until_done(client, "WRITE ward v1")
+        assert deployment.store.promotions[-1][0] == node
