--- a/tests/site/test_refused_setup.py
+++ b/tests/site/test_refused_setup.py
@@ -6,8 +6,11 @@
 import pytest
 from burdockrun_gateway.const import SETUP_REFUSED
 
-from tests.site.common import async_deploy, error_of, read_events, rows_of
+from tests.site.common import SERVICE, async_deploy, error_of, read_events, rows_of
+from tests.site.test_homes import async_wait_for_homes, find_home
 
+# So few connections that other gateways reach a member through its home.
+HOME_GATEWAYS, HOME_CONNECTIONS = 4, 4
 # Codes with which a client is told that nothing is kept.
 PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY"}
 
@@ -100,6 +103,34 @@
         assert error_of(await client.async_query(f"EXECUTE p1 {operand}")) == ""
 
 
+@pytest.mark.parametrize("by_account", [False, True])
+@pytest.mark.parametrize("access", ["READ", "WRITE"])
+async def test_a_name_that_a_member_has_forgotten_is_prepared_again_by_its_home(
+    access: str, by_account: bool
+) -> None:
+    """Guards against UNKNOWN for a name that another node has prepared at the home."""
+    async with async_deploy(HOME_GATEWAYS, HOME_CONNECTIONS) as deployment:
+        if by_account:
+            for gateway in deployment.gateways:
+                gateway.directory.groups[SERVICE].set_limit(HOME_CONNECTIONS, by_account=True)
+        await async_wait_for_homes(deployment)
+        caller = (find_home(deployment, "a") + 1) % HOME_GATEWAYS
+        client = await deployment.async_connect("urgent", caller)
+        assert error_of(await client.async_query(f"PREPARE p1 {access} q1 READ ii")) == ""
+        operand = "ward" if access == "READ" else "ward v1"
+        for begin in ("", "BEGIN"):
+            if begin:
+                assert error_of(await client.async_query(begin)) == ""
+            assert error_of(await client.async_query(f"EXECUTE p1 {operand}")) == ""
+            deployment.members["a"].refuse_next["EXECUTE"] = "UNKNOWN"
+            answer = await client.async_query(f"EXECUTE p1 {operand}")
+            assert error_of(answer) in ({"BUSY"} if begin else {"", "BUSY"})
+            assert answer[-1].startswith("READY E" if begin else "READY I")
+        assert error_of(await client.async_query("ROLLBACK")) == ""
+        assert error_of(await client.async_query(f"EXECUTE p1 {operand}")) == ""
+        assert {run.shape for run in deployment.members["a"].executed} == {"q1 READ ii"}
+
+
 async def test_a_refused_prepare_is_logged_and_counted(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against a member that drops what was prepared there without anybody seeing it."""
     caplog.set_level(logging.INFO)
--- a/tests/site/test_statement_texts.py
+++ b/tests/site/test_statement_texts.py
@@ -13,10 +13,12 @@
 from burdockrun_site.lines import MAX_ADDED_BYTES, MAX_MESSAGE_BYTES
 from burdockrun_statements import session as session_module
 
-from tests.site.common import Client, Deployment, async_deploy, error_of
+from tests.site.common import SERVICE, Client, Deployment, async_deploy, error_of
 from tests.site.members import ExecutedStatement, FakeMember, Session, read_text
 
 SHARED_CONNECTIONS = 4  # connections to each member, so that sessions share them
+# With these, connections belong to accounts, and each member has one home that all others use.
+HOME_GATEWAYS, HOME_CONNECTIONS = 4, 16
 NAMES = ("s1", "READ", "WRITE", "-", "w_q1", "r_q1", "p1", "1", "AFTER", "\t", "a\nb", "z\u00fcg")
 TEXTS = (
     *("q1", "q1 READ ii", "q1 WRITE ii", "ii READ q1 READ ii", "qd WRITE htuhk", "READ q1"),
@@ -160,7 +162,7 @@
     await async_check_random_statements(Random(seed), gateways, rounds=25, most=12, together=3)
 
 
-@pytest.mark.parametrize("gateways", [1, 3])
+@pytest.mark.parametrize("gateways", [1, 3, HOME_GATEWAYS])
 @pytest.mark.parametrize("seed", range(2))
 async def test_statements_run_as_they_were_sent_on_connections_that_are_reset(
     seed: int, gateways: int, monkeypatch: pytest.MonkeyPatch
@@ -179,9 +181,13 @@
     Returns the texts that members got.
     """
     received: list[str] = []
-    async with async_deploy(gateways, SHARED_CONNECTIONS) as deployment:
+    has_homes = gateways == HOME_GATEWAYS
+    connections = HOME_CONNECTIONS if has_homes else SHARED_CONNECTIONS
+    async with async_deploy(gateways, connections) as deployment:
         for member in deployment.members.values():
             record_texts(member, received)
+        for gateway in deployment.gateways if has_homes else ():
+            gateway.directory.groups[SERVICE].set_limit(connections, by_account=True)
         # A new pool has one connection at first.
         await asyncio.sleep(2 * SINGLE_CONNECTION_MS / 1000)
         sessions = [
