Reset a connection whose prepared names a member has dropped

Change: the connection stays, and is reset and set up anew before its next use: what a member has dropped of prepared statements it may have dropped of values, too. Result: test_a_member_that_knows_no_prepared_statement_gets_no_new_connections fails before (30 connections for five statements), passes now; the tests of forgotten names pass.

--- a/libs/gateway/burdockrun_gateway/exchange.py
+++ b/libs/gateway/burdockrun_gateway/exchange.py
@@ -106,6 +106,7 @@
             attempt.may_have_run = sequence.may_have_run
         conclusion = sequence.conclude()
         pool.note_conclusion(conclusion)
+        link.state.needs_reset |= conclusion.forgets_setup
         if not conclusion.keeps_connection:
             self._discard(pool, link)
         return conclusion.answers[-1]
--- a/libs/gateway/burdockrun_gateway/sharing.py
+++ b/libs/gateway/burdockrun_gateway/sharing.py
@@ -157,6 +157,7 @@
                 return
         conclusion = sequence.conclude()
         self._pool.note_conclusion(conclusion)
+        link.state.needs_reset |= conclusion.forgets_setup
         if not conclusion.keeps_connection:
             self._link = None
             self._pool.discard(link)
--- a/libs/statements/burdockrun_statements/sequence.py
+++ b/libs/statements/burdockrun_statements/sequence.py
@@ -35,11 +35,13 @@
     A connection that cannot be kept must be closed, which rolls back its open transaction.
     `refused` is the kind of the setup statement or BEGIN that did not succeed, or EXECUTE if the
     member does not know the prepared statement; `refusal` is its code, None for a BEGIN that opened
-    nothing.
+    nothing. With `forgets_setup` the member has dropped what was set up on the connection, which
+    must be reset before its next use.
     """
 
     answers: tuple[Answer, ...]
     keeps_connection: bool = True
+    forgets_setup: bool = False
     refused: StatementKind | None = None
     refusal: ErrorCode | None = None
 
@@ -110,9 +112,12 @@
         if self._begin is not None and self._ran_outside(last):
             return self._conclude_unwanted_run(Answer(state=last.state, error=ErrorCode.BUSY))
         if last.error is ErrorCode.UNKNOWN_NAME:
-            # The member has dropped what was prepared on the connection.
-            conclusion = self._refuse(last, keeps_connection=False)
-            return replace(conclusion, refused=self._statements[-1].kind, refusal=last.error)
+            return replace(
+                self._refuse(last, keeps_connection=True),
+                forgets_setup=True,
+                refused=self._statements[-1].kind,
+                refusal=last.error,
+            )
         return Conclusion(answers=tuple(self._answers[len(self._setup) :]))
 
     def _conclude_refused(self, kind: StatementKind, refusal: Answer) -> Conclusion:
--- a/libs/statements/burdockrun_statements/session.py
+++ b/libs/statements/burdockrun_statements/session.py
@@ -80,17 +80,22 @@
 
 @dataclass(kw_only=True, slots=True)
 class ConnectionState:
-    """Values and prepared statements that are set on a member connection."""
+    """Values and prepared statements that are set on a member connection.
+
+    `needs_reset` says that the member may hold others.
+    """
 
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedShape] = field(default_factory=dict)
     prepared_bytes: int = 0
+    needs_reset: bool = False
 
     def reset(self) -> None:
         """Clear the state, as the member does on RESET."""
         self.values.clear()
         self.prepared.clear()
         self.prepared_bytes = 0
+        self.needs_reset = False
 
     def add_prepared(self, name: str, shape: PreparedShape) -> None:
         """Add a prepared statement."""
@@ -100,7 +105,7 @@
     def count_setup_statements(self, session: SessionState) -> int:
         """Return how many statements set up the connection for `session`."""
         values = session.values
-        if any(name not in values for name in self.values):
+        if self.needs_reset or any(name not in values for name in self.values):
             return 1 + len(values)
         return sum(1 for name, value in values.items() if self.values.get(name) != value)
 
@@ -140,7 +145,8 @@
     has_foreign_values = any(name not in session.values for name in connection.values)
     lacks_shape = shape is not None and name_shape(shape) not in connection.prepared
     is_full = connection.prepared_bytes >= MAX_PREPARED_BYTES
-    if has_foreign_values or (may_reset and lacks_shape and is_full):
+    is_due = connection.needs_reset or has_foreign_values
+    if is_due or (may_reset and lacks_shape and is_full):
         setup.append(Statement(kind=StatementKind.RESET))
         connection.reset()
     for name, value in session.values.items():
--- a/tests/site/members.py
+++ b/tests/site/members.py
@@ -109,6 +109,7 @@
         self.silent = False
         self.delay_s = 0.0
         self.max_open_connections = 0
+        self.accepted_connections = 0
         self.peers: list[FakeMember] = []
         self.port = 0
         self._max_connections = max_connections
@@ -173,6 +174,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        self.accepted_connections += 1
         self.max_open_connections = max(self.max_open_connections, len(self._writers))
         try:
             await self._async_session(reader, writer)
--- a/tests/site/test_refused_setup.py
+++ b/tests/site/test_refused_setup.py
@@ -103,6 +103,25 @@
         assert error_of(await client.async_query(f"EXECUTE p1 {operand}")) == ""
 
 
+async def test_a_member_that_knows_no_prepared_statement_gets_no_new_connections() -> None:
+    """Guards against a new connection for each try of a statement that a member does not know."""
+    async with async_deploy(gateways=1) as deployment:
+        member = deployment.members["a"]
+        client = await deployment.async_connect("urgent")
+        assert error_of(await client.async_query("SET zone nbg")) == ""
+        assert error_of(await client.async_query("PREPARE p1 WRITE q2c")) == ""
+        assert error_of(await client.async_query("EXECUTE p1 ward v1")) == ""
+        accepted = member.accepted_connections
+        member.refuse_all["EXECUTE"] = "UNKNOWN"
+        for _ in range(5):
+            assert error_of(await client.async_query("EXECUTE p1 ward v2")) == "BUSY"
+        assert member.accepted_connections <= accepted + 1
+        member.refuse_all.clear()
+        assert error_of(await client.async_query("EXECUTE p1 ward v3")) == ""
+        assert member.executed[-1].values == (("zone", "nbg"),)
+        assert len(member.log) == 2
+
+
 @pytest.mark.parametrize("by_account", [False, True])
 @pytest.mark.parametrize("access", ["READ", "WRITE"])
 async def test_a_name_that_a_member_has_forgotten_is_prepared_again_by_its_home(
