Prepare at a home only shapes that their names tell

Change: a PREPARE of another node whose name is neither that of the shape nor its text, as nodes of earlier versions have it, ends the connection. The fault soak compares access with the shape. Result: two cases of test_a_shape_that_its_name_does_not_tell_is_not_prepared fail before, all pass now.

--- a/libs/gateway/burdockrun_gateway/sharing.py
+++ b/libs/gateway/burdockrun_gateway/sharing.py
@@ -119,6 +119,8 @@
 
     def _apply(self, statements: Iterable[Statement]) -> None:
         for statement in statements:
+            if not _has_name_of_shape(statement):
+                raise LinkLostError
             if statement.kind is StatementKind.RESET:
                 self._session = SessionState()
             else:
@@ -224,5 +226,18 @@
         return all(name in self._session.prepared for name in executed)
 
 
+def _has_name_of_shape(statement: Statement) -> bool:
+    """Return whether a PREPARE of another node names the shape as nodes do.
+
+    Nodes of earlier versions put the text of the shape into the name; with blanks in it, what was
+    decoded is another shape.
+    """
+    if statement.kind is not StatementKind.PREPARE or statement.shape is None:
+        return True
+    shape = statement.shape
+    earlier_name = f"{'w' if shape.writes else 'r'}_{shape.shape}"
+    return statement.name in {name_shape(shape), earlier_name}
+
+
 def _build_refusal(fault: AcquireFault) -> Answer:
     return Answer(state=IDLE, error=fault.code, detail=fault.reason, retry_ms=fault.retry_ms)
--- a/script/fault_soak/clients.py
+++ b/script/fault_soak/clients.py
@@ -314,7 +314,7 @@
     is_read = request.text.startswith("READ")
     word, name, shape = ("READ", "r", 0) if is_read else ("WRITE", "w", 1)
     text = request.text.replace(word, f"EXECUTE {name}", 1)
-    return replace(request, text=text, shape=session.shapes[shape])
+    return replace(request, text=text, shape=f"{word} {session.shapes[shape]}")
 
 
 @session_kind("half_close", 1)
--- a/script/fault_soak/members.py
+++ b/script/fault_soak/members.py
@@ -255,7 +255,7 @@
                     text=" ".join(filter(None, fields)),
                     state=state,
                     values=tuple(sorted(session.values.items())),
-                    shape=executed.shape,
+                    shape=f"{executed.text} {executed.shape}" if executed.shape else "",
                     rows=[line for line in answer if line.startswith("ROW")],
                 )
             )
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from dataclasses import replace
 from unittest.mock import patch
 
 import pytest
@@ -19,6 +20,7 @@
     Statement,
     StatementKind,
     TransactionState,
+    name_shape,
 )
 from result import Err, Ok, Result
 
@@ -135,12 +137,41 @@
     pool, answers = FakePool(), []  # type: tuple[FakePool, list[Answer]]
     shared = share(pool, answers)
     shape = PreparedShape(writes=writes, shape="q1")
-    prepare = Statement(kind=StatementKind.PREPARE, name=EXECUTE.name, shape=shape)
-    shared.handle([prepare, EXECUTE], PRIORITY)
+    name = name_shape(shape)
+    prepare = Statement(kind=StatementKind.PREPARE, name=name, shape=shape)
+    shared.handle([prepare, replace(EXECUTE, name=name)], PRIORITY)
     await asyncio.sleep(0.01)
     assert [one.writes for one in pool.priorities] == [writes]
 
 
+@pytest.mark.parametrize(
+    ("name", "shape", "is_taken"),
+    [
+        ("r_q1", "q1", True),
+        ("r_q(1)", "q(1)", True),
+        ("r_q%281%29", "q(1)", True),
+        ("r_q1", "ii READ q1 READ ii", False),
+        ("w_q1", "q1", False),
+    ],
+)
+async def test_a_shape_that_its_name_does_not_tell_is_not_prepared(
+    name: str, shape: str, is_taken: bool
+) -> None:
+    """Guards against a shape that a node of an earlier version did not mean."""
+    answers: list[Answer] = []
+    lost: list[bool] = []
+    shared = SharedConnection(
+        FakePool(),  # type: ignore[arg-type]
+        answers.append,
+        lambda: lost.append(True),
+        on_error=_raise,
+    )
+    prepared = PreparedShape(writes=False, shape=shape)
+    shared.handle([Statement(kind=StatementKind.PREPARE, name=name, shape=prepared)], PRIORITY)
+    await asyncio.sleep(0.01)
+    assert (answers, lost) == (([IDLE], []) if is_taken else ([], [True]))
+
+
 async def test_a_name_that_the_other_node_has_not_prepared_runs_nothing() -> None:
     """Guards against a name that the connection to the member has from another session."""
     pool, lost = FakePool(), []  # type: tuple[FakePool, list[bool]]
