Withdraw an order for a promotion once its holder may order no more

Cause: an order was abandoned with a plain close, after which the kernel went on sending what had not arrived, for up to its 3 s for unacknowledged data, and it waited 1.5 s for an answer whatever became of the lease. Callers see no change: an order without an answer is repeated as before. An order that another machine has taken and passes on later is not covered.

--- a/libs/gateway/burdockrun_gateway/leases.py
+++ b/libs/gateway/burdockrun_gateway/leases.py
@@ -210,19 +210,26 @@
 
     def is_held(self) -> bool:
         """Return whether this node certainly holds the lease."""
-        now_ms = self._app.clock.now_ms()
-        if not self._held or now_ms >= self._key.expires_ms:
-            return False
+        return self._find_time_left_ms() > 0
+
+    def _find_time_left_ms(self) -> int:
+        """Return for how long this node certainly holds the lease; 0 if it may be lost already."""
         item = self._directory.promotion_lease_item()
         copy = self._directory.store_copy
-        if copy.era != self._key.era:
-            return False
+        if not self._held or copy.era != self._key.era:
+            return 0
         proven_ms = max(copy.confirmed_ms or 0, self._acquired_ms)
         if item is not None and item.created != self._key.revision:
-            return False
+            return 0
         if item is None and (copy.confirmed_ms or 0) > self._acquired_ms:
-            return False
-        return now_ms < proven_ms + PROMOTION_LEASE_CONFIRMATION_MS
+            return 0
+        until_ms = min(self._key.expires_ms, proven_ms + PROMOTION_LEASE_CONFIRMATION_MS)
+        return max(until_ms - self._app.clock.now_ms(), 0)
+
+    def find_order_time_left_ms(self, fence: int) -> int:
+        """Return for how long an order with a fencing number may still take effect."""
+        may_order = self.may_promote() and self.fence() == fence
+        return self._find_time_left_ms() if may_order else 0
 
     def has_other_candidates(self) -> bool:
         """Return whether another registered node can take the lease."""
--- a/libs/gateway/burdockrun_gateway/ports.py
+++ b/libs/gateway/burdockrun_gateway/ports.py
@@ -297,10 +297,16 @@
     """Orders promotions at the platform."""
 
     async def async_promote(
-        self, service: str, member: str, holder: str, fence: int, may_send: Callable[[], bool]
+        self,
+        service: str,
+        member: str,
+        holder: str,
+        fence: int,
+        find_time_left_ms: Callable[[], int],
     ) -> Result[None, StoreFault]:
         """Order a member to become the primary; CONFLICT says that it is not running.
 
-        `may_send` is asked once a connection is open; if it denies, nothing is sent.
+        `find_time_left_ms` returns for how long the holder may order. Once it returns 0, nothing is
+        sent, and an order that is under way is withdrawn as far as it has not arrived.
         """
         ...
--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -489,7 +489,7 @@
             record.primary,
             self._promotion_lease.node,
             fence,
-            lambda: self._promotion_lease.may_promote() and self._promotion_lease.fence() == fence,
+            partial(self._promotion_lease.find_order_time_left_ms, fence),
         )
         self._app.events.write(
             CHANGE_ORDERED,
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -46,6 +46,9 @@
         self.promote_delay_s = 0.05
         # When set, orders are lost on their connections and take effect after this time.
         self.lost_order_delay_s = 0.0
+        self.order_answer_delay_s = 0.0
+        # Fencing tokens of orders with the connections on which they came.
+        self.order_connections: list[tuple[int, asyncio.Transport]] = []
         self.not_running: set[str] = set()
         self.port = 0
         self.page_items = 3
@@ -262,12 +265,14 @@
         fields = await request.json()
         fence = int(request.headers["Fencing-Token"])
         self.promotions.append((request.headers["Lease-Holder"], fields["Id"], fence))
+        assert request.transport is not None
+        self.order_connections.append((fence, request.transport))
+        await asyncio.sleep(self.order_answer_delay_s)
         loop = asyncio.get_running_loop()
         running = fields["Id"] not in self.not_running
         if running:
             delay_s = self.lost_order_delay_s or self.promote_delay_s
             loop.call_later(delay_s, self._promote, fields["Id"])
         if self.lost_order_delay_s:
-            assert request.transport is not None
             request.transport.abort()
         return web.json_response({}, status=200 if running else 409)
--- a/tests/site/test_odd_answers.py
+++ b/tests/site/test_odd_answers.py
@@ -97,7 +97,7 @@
         assert fetched == Err(StoreFault.UNREACHABLE)
         copies.close()
         promotions = PlatformPromotionClient(address)
-        ordered = promotions.async_promote("s", "m", "n1", 1, lambda: True)
+        ordered = promotions.async_promote("s", "m", "n1", 1, lambda: 1_000)
         assert isinstance(await asyncio.wait_for(ordered, 3.0), Ok | Err)
         promotions.close()
 
--- a/tests/site/test_supervision.py
+++ b/tests/site/test_supervision.py
@@ -492,10 +492,10 @@
     store = FakeStore(lambda member: True)
     await store.async_start()
     client = PlatformPromotionClient(f"127.0.0.1:{store.port}")
-    refused = await client.async_promote("wendedb", "b", "node-1", 7, lambda: False)
+    refused = await client.async_promote("wendedb", "b", "node-1", 7, lambda: 0)
     assert refused == Err(StoreFault.UNREACHABLE)
     assert store.promotions == []
-    assert await client.async_promote("wendedb", "b", "node-1", 7, lambda: True) == Ok(None)
+    assert await client.async_promote("wendedb", "b", "node-1", 7, lambda: 1_000) == Ok(None)
     assert store.promotions == [("node-1", "b", 7)]
     client.close()
     await store.async_stop()
