Do not renew for ever a promotion lease whose renewals have no answer

Cause: a holder renews until the store says that its lease has ended. When the store executes the renewals and their answers are lost with a reset, the holder may not order, and no other node can take the lease. Callers: primaries are replaced although the holder has lost all answers of the store. The same holder still goes on after an outage; its cost in a short silent one was not measured.

--- a/libs/gateway/burdockrun_gateway/leases.py
+++ b/libs/gateway/burdockrun_gateway/leases.py
@@ -18,6 +18,7 @@
     PRESENCE_PREFIX,
     PROMOTION_LEASE_CHECK_MS,
     PROMOTION_LEASE_CONFIRMATION_MS,
+    PROMOTION_LEASE_DOUBT_MS,
     PROMOTION_LEASE_DURATION_MS,
     PROMOTION_LEASE_KEY,
     PROMOTION_LEASE_KEY_STRAY,
@@ -25,6 +26,7 @@
     PROMOTION_LEASE_RENEWAL_MS,
     PROMOTION_LEASE_TAKEN,
     PROMOTION_LEASE_YIELD_MS,
+    PROMOTION_POLL_MS,
     REGISTRATION_WAIT_MS,
     STORE_RETRY_MAX_MS,
     STORE_RETRY_MS,
@@ -60,6 +62,8 @@
         self._lease_ms = lease_ms
         self._lasting_key = lasting_key
         self._lease = 0
+        # When the last renewal without an answer was sent; None if a later one was answered.
+        self.doubtful_ms: int | None = None
 
     async def async_acquire(self, expected_revision: int | None) -> bool:
         """Write the key under a new lease if it has the expected revision; None for any."""
@@ -76,6 +80,7 @@
         if isinstance(written, Err):
             await self._store.async_end_lease(lease)
             return False
+        self.doubtful_ms = None
         self._lease = lease
         self.revision = written.ok_value.revision
         self.era = written.ok_value.era
@@ -97,7 +102,10 @@
         sent_ms = self._app.clock.now_ms()
         renewed = await self._store.async_keep_lease(self._lease)
         if isinstance(renewed, Err):
+            if renewed.err_value is StoreFault.UNREACHABLE:
+                self.doubtful_ms = sent_ms
             return renewed.err_value
+        self.doubtful_ms = None
         self.expires_ms = sent_ms + self._lease_ms
         return None
 
@@ -308,13 +316,17 @@
         self._app.events.write(PROMOTION_LEASE_TAKEN, fence=self.fence())
 
     async def _async_renew(self) -> None:
-        await asyncio.sleep(PROMOTION_LEASE_RENEWAL_MS / 1000)
+        pause_ms = PROMOTION_POLL_MS if self._is_renewal_doubtful() else PROMOTION_LEASE_RENEWAL_MS
+        await asyncio.sleep(pause_ms / 1000)
         if self._directory.store_copy.era > self._key.era:
             # A later holder may be lost with the newer contents of the store, but not its orders.
             self._note_lost("store restored")
             await self._async_remove_returned_key()
             return
-        fault = await self._key.async_renew()
+        if self._is_renewal_doubtful():
+            fault: StoreFault | None = StoreFault.UNREACHABLE
+        else:
+            fault = await self._key.async_renew()
         if not self._held:
             return
         now_ms = self._app.clock.now_ms()
@@ -329,6 +341,19 @@
         elif fault is None and self._is_unprovable() and self.has_other_candidates():
             await self.async_yield()
 
+    def _is_renewal_doubtful(self) -> bool:
+        """Return whether the store may renew the lease for this node, which cannot use it.
+
+        It has renewed the lease without an answer, and the lease has run out by the time of this
+        node. Another renewal has to wait until the store lists the key for so long that the lease
+        was stopped with the store: a node whose answers are lost would keep the key for ever.
+        """
+        key = self._key
+        if key.doubtful_ms is None or self._app.clock.now_ms() < key.expires_ms:
+            return False
+        confirmed_ms = self._directory.store_copy.confirmed_ms or 0
+        return confirmed_ms < key.doubtful_ms + PROMOTION_LEASE_DOUBT_MS
+
     def _is_unprovable(self) -> bool:
         """Return whether this node cannot read that it holds the lease, though the store serves.
 
