Unregister a node also when a call of its end has no answer

Cause: the keys of a node that ends were removed with one call. A registration without an answer, executed after the removal, brought the key back. Change: the removal is tried three times, and the lease of a write without an answer is ended first, so that the write can no longer be executed. Result: test_a_node_is_unregistered_though_an_answer_is_lost (never executed) and test_a_node_that_has_ended_does_not_come_back_with_a_late_registration failed before and pass now. Callers see no wait for ended nodes; a node that ends while the store is silent takes up to its drain's end to give up.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -36,6 +36,8 @@
 NODE_RENEWAL_MS: Final = 800
 # A node that ends waits this long for the answer to a registration under way before it removes it.
 REGISTRATION_WAIT_MS: Final = 400
+# How often a node that ends tries to remove its keys.
+RELEASE_TRIES: Final = 3
 PROMOTION_LEASE_DURATION_MS: Final = 1_000
 PROMOTION_LEASE_RENEWAL_MS: Final = 300
 # A lease that a renewal without an answer has renewed has ended after this time: its duration, and
--- a/libs/gateway/burdockrun_gateway/leases.py
+++ b/libs/gateway/burdockrun_gateway/leases.py
@@ -7,7 +7,7 @@
 
 from burdockrun_base import Application
 from burdockrun_groups import NodeEntry
-from result import Err
+from result import Err, Ok
 
 from burdockrun_gateway.const import (
     FENCE_REVISION_BITS,
@@ -28,6 +28,7 @@
     PROMOTION_LEASE_YIELD_MS,
     PROMOTION_POLL_MS,
     REGISTRATION_WAIT_MS,
+    RELEASE_TRIES,
     STORE_RETRY_MAX_MS,
     STORE_RETRY_MS,
     STRAY_LEASE_KEY_MS,
@@ -62,6 +63,8 @@
         self._lease_ms = lease_ms
         self._lasting_key = lasting_key
         self._lease = 0
+        # Lease of a write without an answer: the write may still be executed while the lease runs.
+        self._doubtful_lease = 0
         # When the last renewal without an answer was sent; None if a later one was answered.
         self.doubtful_ms: int | None = None
 
@@ -76,10 +79,12 @@
         writes = [Write(key=self._key, value=self.value, lease=lease)]
         if self._lasting_key:
             writes.append(Write(key=self._lasting_key, value=b""))
+        self._doubtful_lease = lease
         written = await self._store.async_commit(expected, writes)
         if isinstance(written, Err):
-            await self._store.async_end_lease(lease)
+            await self._async_end_doubtful_lease()
             return False
+        self._doubtful_lease = 0
         self.doubtful_ms = None
         self._lease = lease
         self.revision = written.ok_value.revision
@@ -110,12 +115,30 @@
         return None
 
     async def async_release(self) -> None:
-        """Remove the key, and the lasting one."""
+        """Remove the key, and the lasting one, which would not end with the lease."""
         self.expires_ms = 0
+        for _ in range(RELEASE_TRIES if self._lasting_key else 1):
+            if await self._async_remove():
+                return
+            await asyncio.sleep(STORE_RETRY_MS / 1000)
+
+    async def _async_remove(self) -> bool:
+        ended = await self._async_end_doubtful_lease()
         if self._lasting_key:
-            await self._store.async_commit({}, [], [self._key, self._lasting_key])
-        elif self._lease:
-            await self._store.async_end_lease(self._lease)
+            removed = await self._store.async_commit({}, [], [self._key, self._lasting_key])
+            return ended and isinstance(removed, Ok)
+        return ended and (not self._lease or await self._async_end(self._lease))
+
+    async def _async_end_doubtful_lease(self) -> bool:
+        """End the lease of a write that may be executed late, which then has no effect."""
+        if self._doubtful_lease and await self._async_end(self._doubtful_lease):
+            self._doubtful_lease = 0
+        return not self._doubtful_lease
+
+    async def _async_end(self, lease: int) -> bool:
+        """End a lease; return whether it has certainly ended."""
+        ended = await self._store.async_end_lease(lease)
+        return isinstance(ended, Ok) or ended.err_value is StoreFault.LEASE_ENDED
 
 
 class Registration:
--- a/tests/site/test_lost_store_answers.py
+++ b/tests/site/test_lost_store_answers.py
@@ -10,6 +10,7 @@
 
 import pytest
 from burdockrun_gateway import Gateway
+from burdockrun_gateway.const import PRESENCE_PREFIX
 from burdockrun_site.http import HttpClient, HttpFault
 from burdockrun_site.store import PlatformStore
 from result import Err
@@ -167,6 +168,31 @@
         assert len(deployment.store._leases) == 3  # two registrations and the promotion lease
 
 
+async def test_a_node_that_has_ended_does_not_come_back_with_a_late_registration() -> None:
+    """Guards against changes of primaries that wait for a node which has ended."""
+    async with async_deploy(gateways=1) as deployment:
+        answers = LostAnswers()
+        answers.fates = [(COMMIT, 2.2), (END, "never")]
+        gateway = await async_add_losing(deployment, "node-2", answers)
+        await gateway._registration.async_release()
+        await asyncio.sleep(1.5)
+        assert PRESENCE_PREFIX + "node-2" not in deployment.store.entries
+
+
+@pytest.mark.parametrize("fate", ["never", "executed"])
+async def test_a_node_is_unregistered_though_an_answer_is_lost(fate: str) -> None:
+    """Guards against changes of primaries that wait for a node whose last call was lost."""
+    async with async_deploy(gateways=2) as deployment:
+        gateway = deployment.gateways[1]
+        answers = LostAnswers()
+        answers.patch_gateway(gateway)
+        answers.fates = [(COMMIT, fate)]
+        await gateway._registration.async_release()
+        assert len(answers.lost) == 1
+        left = [key for key in deployment.store.entries if key.endswith("/node-2")]
+        assert [key for key in left if "/acks/" not in key] == []
+
+
 @pytest.mark.parametrize(
     "fates",
     [
