Remove a function and an attribute that nothing reads

Cause: AccountTable.count_keys and MemberPool._probing were left over; owned_accounts served one test. Change: they are removed; the test looks at the accounts itself, with the same condition. Result: in libs/gateway, libs/groups and platform a search by syntax tree finds no other name that is defined and never read, but for call-backs of asyncio. tests/gateway, tests/groups and tests/site/test_account_limits.py: 377 passed. Callers see no change.

--- a/libs/gateway/burdockrun_gateway/account_limits.py
+++ b/libs/gateway/burdockrun_gateway/account_limits.py
@@ -88,10 +88,6 @@
         self._asked_ms: dict[str, int] = {}
         self._polled_ms = now_ms
 
-    def owned_accounts(self) -> list[str]:
-        """Return the accounts that this node owns and can lease."""
-        return [name for name, one in self._owner.accounts.items() if not one.taking_over]
-
     def bind(self, directory: Directory) -> None:
         """Take registrations and addresses of nodes from a directory."""
         self._directory = directory
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -127,7 +127,6 @@
         self._estimate_ms = DEFAULT_RESPONSE_MS + self.delay_ms
         self.has_homes = False
         self.home_loads = HomeLoads(self._estimate_ms)
-        self._probing = False
         self._tasks = TaskSet(app)
 
     def set_plan(self, plan: ConnectionPlan) -> None:
--- a/libs/groups/burdockrun_groups/accounts.py
+++ b/libs/groups/burdockrun_groups/accounts.py
@@ -76,7 +76,3 @@
     def has_same_keys(self, other: "AccountTable", name: str) -> bool:
         """Return whether an account has the same keys in both tables."""
         return self._digests.get(name) == other._digests.get(name)
-
-    def count_keys(self, name: str) -> int:
-        """Return how many keys an account has."""
-        return len(self._digests.get(name, ()))
--- a/tests/site/test_account_limits.py
+++ b/tests/site/test_account_limits.py
@@ -23,9 +23,10 @@
         gateway.directory.store_copy.poll_now()
 
     def is_owned() -> bool:
-        owned = [one.limits.owned_accounts() for one in deployment.gateways]
+        owned = [one.limits._owner.accounts.items() for one in deployment.gateways]
         versions = [one.directory.configuration.version for one in deployment.gateways]
-        return versions == [2] * len(owned) and [a for one in owned for a in one] == ["norte"]
+        ready = [name for one in owned for name, account in one if not account.taking_over]
+        return versions == [2] * len(owned) and ready == ["norte"]
 
     await deployment.async_wait_until(is_owned)
 
