--- a/tests/gateway/test_store_copy.py
+++ b/tests/gateway/test_store_copy.py
@@ -8,7 +8,12 @@
 import pytest
 from burdockrun_base import Application, ManualClock
 from burdockrun_gateway import Item, Listing, StoreFault
-from burdockrun_gateway.const import COPY_SOURCE_RETRY_MS, MAX_COPY_AGE_MS, OLD_COPY_RETRY_MS
+from burdockrun_gateway.const import (
+    COPY_SOURCE_RETRY_MS,
+    MAX_COPY_AGE_MS,
+    OLD_COPY_RETRY_MS,
+    STORE_RETRY_MS,
+)
 from burdockrun_gateway.peer_selector import PeerSelector
 from burdockrun_gateway.store_copy import StoreCopy
 from burdockrun_groups import NodeEntry
@@ -540,3 +545,21 @@
     assert changes == [["p/a"], ["p/b"], ["p/c"]]
     assert confirmed == 3
     assert sorted(store_copy.items) == ["p/a", "p/b", "p/c"]
+
+
+async def test_a_listing_that_breaks_off_again_is_repeated_after_a_pause() -> None:
+    """Guards against a node that lists without a pause from a store that cannot finish a listing.
+
+    The store is restored between two pages each time, or answers the wrong status.
+    """
+    started_s = asyncio.get_running_loop().time()
+    store_copy, _, _ = await async_follow(
+        [
+            ("list", listing(5, item("p/a", 3))),
+            ("watch", Err(StoreFault.COMPACTED)),
+            *[("list", Err(StoreFault.COMPACTED))] * 3,
+            ("list", listing(9, item("p/b", 8))),
+        ]
+    )
+    assert asyncio.get_running_loop().time() - started_s > 0.6 * 3 * STORE_RETRY_MS / 1000
+    assert list(store_copy.items) == ["p/b"]
