Renew a promotion lease again as soon as a doubtful renewal has ended

Change: once the lease has run out by the holder's clock, the next renewal is sent 1.3 s after one without an answer: the lease has ended by then unless it pauses. A renewal that was not sent counts as refused and is repeated as before.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -40,9 +40,8 @@
 RELEASE_TRIES: Final = 3
 PROMOTION_LEASE_DURATION_MS: Final = 1_000
 PROMOTION_LEASE_RENEWAL_MS: Final = 300
-# A lease that a renewal without an answer has renewed has ended after this time: its duration, and
-# the longest time for which the renewal is under way.
-PROMOTION_LEASE_DOUBT_MS: Final = 2_000
+# A lease that a renewal without an answer has renewed has ended this long after it was sent.
+PROMOTION_LEASE_DOUBT_MS: Final = PROMOTION_LEASE_DURATION_MS + PROMOTION_LEASE_RENEWAL_MS
 # A node without the promotion lease checks at this interval, and at each change of the store,
 # whether the lease is free.
 PROMOTION_LEASE_CHECK_MS: Final = 500
--- a/libs/gateway/burdockrun_gateway/leases.py
+++ b/libs/gateway/burdockrun_gateway/leases.py
@@ -375,17 +375,17 @@
             await self.async_yield()
 
     def _is_renewal_doubtful(self) -> bool:
-        """Return whether the store may renew the lease for this node, which cannot use it.
+        """Return whether the lease may still run although it has run out by the time of this node.
 
-        It has renewed the lease without an answer, and the lease has run out by the time of this
-        node. Another renewal has to wait until the store lists the key for so long that the lease
-        was stopped with the store: a node whose answers are lost would keep the key for ever.
+        The store may have executed a renewal without an answer. The next one has to wait until the
+        lease has ended: a node whose answers are lost would keep the key for ever. A lease that was
+        stopped with the store is renewed then.
         """
         key = self._key
-        if key.doubtful_ms is None or self._app.clock.now_ms() < key.expires_ms:
+        now_ms = self._app.clock.now_ms()
+        if key.doubtful_ms is None or now_ms < key.expires_ms:
             return False
-        confirmed_ms = self._directory.store_copy.confirmed_ms or 0
-        return confirmed_ms < key.doubtful_ms + PROMOTION_LEASE_DOUBT_MS
+        return now_ms < key.doubtful_ms + PROMOTION_LEASE_DOUBT_MS
 
     def _is_unprovable(self) -> bool:
         """Return whether this node cannot read that it holds the lease, though the store serves.
