Compare each changed registration with the poll that follows it

Cause: script/control-cost subtracted the median of polls at the end of a run. The first polls of a run take up to 1 ms longer at 2,730 members, which counted as the cost of the first changes. Change: a poll without changes follows each one with a change, and is subtracted from it.

--- a/script/control_cost.py
+++ b/script/control_cost.py
@@ -266,12 +266,11 @@
 async def async_measure_polls(
     nodes: int, members: int, changes: Sequence[Sequence[Change]]
 ) -> tuple[list[float], float]:
-    """Return the least processor time of each poll with changes over several runs, in ms.
+    """Return the processor time of each poll with changes and of one without, in ms.
 
-    That of a poll without changes is subtracted, and returned beside them.
+    That of the next poll, without changes, is subtracted. Each is the least of several runs.
     """
-    idle = 2 * CHANGED_NODES
-    answers = build_answers([*changes, *([()] * idle)])
+    answers = build_answers([one for change in changes for one in (change, ())])
     first = [build_node(index) for index in range(nodes)]
     runs = []
     for _ in range(REPEATS):
@@ -281,8 +280,9 @@
         runs.append(await node.async_learn())
         gc.enable()
     costs = [min(one) for one in zip(*runs, strict=True)]
-    unchanged = statistics.median(costs[len(changes) :])
-    return [cost - unchanged for cost in costs[: len(changes)]], unchanged
+    changed, unchanged = costs[::2], costs[1::2]
+    differences = [one - other for one, other in zip(changed, unchanged, strict=True)]
+    return differences, statistics.median(unchanged)
 
 
 async def async_measure_rest(nodes: int, members: int) -> float:
