Look for the nodes that watch a primary only after a suspicion

Cause: the holder of the promotion lease chose the homes of each primary once a second, to compare the number of nodes that suspect it, usually none, with the number of those that watch it. Change: without a suspicion they are not looked for; the decision is the same, as no suspicion is never a majority.

--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -212,7 +212,8 @@
         }
         if group.suspected and group.suspected == primary:
             suspecting.add(self._promotion_lease.node)
-        watching = group.find_direct_nodes(primary)
+        # Without a suspicion it does not matter how many nodes watch the primary.
+        watching = group.find_direct_nodes(primary) if suspecting else frozenset[str]()
         return find_change_reason(
             record,
             Evidence(
--- a/tests/gateway/test_control_cost.py
+++ b/tests/gateway/test_control_cost.py
@@ -6,10 +6,21 @@
 from unittest.mock import patch
 
 import pytest
+from burdockrun_gateway.group import Group
 from burdockrun_gateway.member_routes import MemberRoute
-from burdockrun_groups import ConnectionPlan
+from burdockrun_groups import ConnectionPlan, find_change_reason
 
-from script.control_cost import Change, MeasuredNode, build_answers, build_node, list_changes, main
+from script.control_cost import (
+    REPEATS,
+    REST_S,
+    Change,
+    MeasuredNode,
+    async_measure_rest,
+    build_answers,
+    build_node,
+    list_changes,
+    main,
+)
 from tests.groups.test_layout import count_weights
 
 
@@ -67,6 +78,22 @@
     assert plans / len(changes) <= most_plans
 
 
+@pytest.mark.parametrize(("nodes", "members"), [(8, 9), (71, 12)])
+async def test_groups_at_rest_are_checked_without_looking_for_those_that_watch_them(
+    nodes: int, members: int
+) -> None:
+    """Guards against the choice of homes for each group and second at the holder of the lease."""
+    with (
+        patch(
+            "burdockrun_gateway.supervisor.find_change_reason", wraps=find_change_reason
+        ) as check,
+        patch.object(Group, "find_direct_nodes", return_value=frozenset()) as search,
+    ):
+        await async_measure_rest(nodes, members)
+    assert 0 < check.call_count <= (members // 3) * (REST_S * REPEATS + 5)
+    assert search.call_count == 0
+
+
 def test_the_last_line_has_the_figures_of_each_size(
     capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
