Say what a reset of a connection is due to

Cause: read once more as a newcomer: 'the member may hold others' did not say other than what, and the bound on prepared statements had no unit. Change: comments and docstrings only.

--- a/libs/gateway/burdockrun_gateway/sharing.py
+++ b/libs/gateway/burdockrun_gateway/sharing.py
@@ -120,6 +120,7 @@
     def _apply(self, statements: Iterable[Statement]) -> None:
         for statement in statements:
             if not _has_name_of_shape(statement):
+                # The shape is not the one that the client of the other node prepared.
                 raise LinkLostError
             if statement.kind is StatementKind.RESET:
                 self._session = SessionState()
--- a/libs/statements/burdockrun_statements/session.py
+++ b/libs/statements/burdockrun_statements/session.py
@@ -12,7 +12,8 @@
 
 # Memory of a value or a prepared statement beside its name and text.
 ENTRY_BYTES: Final = 256
-# Prepared statements that a member connection may hold before it is reset for the next one.
+# Memory of the prepared statements of a member connection from which on it is reset for the next
+# one; about 1,000 short shapes.
 MAX_PREPARED_BYTES: Final = 262_144
 # Longer names are replaced by a digest, so that a name adds little to a message.
 MAX_NAME_LENGTH: Final = 64
@@ -82,7 +83,7 @@
 class ConnectionState:
     """Values and prepared statements that are set on a member connection.
 
-    `needs_reset` says that the member may hold others.
+    With `needs_reset` the member may lack some of them, so a RESET comes before the next use.
     """
 
     values: dict[str, str] = field(default_factory=dict)
@@ -138,8 +139,8 @@
 ) -> list[Statement]:
     """Return the statements that set up a connection for a session, and update the state of both.
 
-    A connection with values that the session does not have is reset first. With `may_reset`, so is
-    one that holds many prepared statements and needs another one.
+    A connection with values that the session does not have, or that needs a reset, is reset first.
+    With `may_reset`, so is one that holds many prepared statements and lacks `shape`.
     """
     setup: list[Statement] = []
     has_foreign_values = any(name not in session.values for name in connection.values)
