--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -6,6 +6,7 @@
 import asyncio
 import base64
 import contextlib
+import functools
 import json
 import os
 import random
@@ -66,9 +67,12 @@
         self.on_promotion = None  # returns a status
         self._changed = asyncio.Event()
 
-    async def start(self, host):
-        self.host = host
-        self._server = await asyncio.start_server(self._serve, host, STORE)
+    async def start(self, hosts):
+        """Listen on an address for each gateway, so that single ones can be turned away."""
+        self.hosts, self.turned_away = hosts, set()
+        self._servers = [
+            await asyncio.start_server(functools.partial(self._serve, index), host, STORE) for index, host in enumerate(hosts)
+        ]
         self._task = asyncio.create_task(self._expire())
 
     def put(self, key, value, lease=0):
@@ -109,7 +113,7 @@
         for key in [key for key, item in self.items.items() if item["Lease"] == lease]:
             self.remove(key)
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, index, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, ValueError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
@@ -117,7 +121,9 @@
                 headers = {n.lower(): v.strip() for n, _, v in (line.partition(":") for line in head[1:] if line)}
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
                 await asyncio.sleep(0.004)
-                status, fields = await self._answer(method, target, headers, body)
+                status, fields = 503, {}
+                if index not in self.turned_away:
+                    status, fields = await self._answer(method, target, headers, body)
                 data = json.dumps(fields).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data
@@ -194,6 +200,9 @@
         self.busy_until = 0.0
         # Reached by nobody; not running; not reached by the store, or by the other members.
         self.dark = self.down = self.cut_store = self.cut_members = False
+        self.cut_callers = set()  # nodes that are partitioned from it
+        self.has_log = True
+        self.on_pause = lambda: None
         self.on_run = None
         self.refuse = None
         self._seq = 0
@@ -205,6 +214,8 @@
         self._server = await asyncio.start_server(self._serve, self.host, MEMBER)
 
     def position(self):
+        if not self.has_log:
+            return "-"
         return f"{self.log[-1][0]}.{self.log[-1][1]}" if self.log else f"{1}.0"
 
     def fields(self):
@@ -224,17 +235,24 @@
         if not dark:
             self._reset()
 
-    async def crash(self, seconds):
-        """Be down for a time, and come back with the log."""
+    async def crash(self, seconds, *, keeps_log=True):
+        """Be down for a time, and come back under the same id; a replica may know nothing of before."""
         self.down = True
         self._server.close()
         self._reset()
         self.held = 0
         await asyncio.sleep(seconds)
         self.down = False
+        if any(one.primary and one.term > self.term for one in self.world.members):
+            self.primary = False
+        if not keeps_log:
+            self.log, self.has_log, self.term = [], False, 1
         self._born = int(time.time() * 1000)
         await self.start()
         self.beat()
+        for one in self.world.members:
+            if one.primary and one is not self and one.reaches(self):
+                self.world.send_log(one, self, asyncio.Event())
 
     def _reset(self):
         for writer in list(self._writers):
@@ -252,7 +270,9 @@
         writer.close()
 
     async def _session(self, reader, writer):
-        word, service, _, *rest = (await self._line(reader)).split(" ")
+        word, service, caller, *rest = (await self._line(reader)).split(" ")
+        while caller in self.cut_callers:
+            await asyncio.sleep(0.05)
         if word != "CONNECT" or service != self.world.service or (rest and rest[0] != self.id):
             writer.write(b"ERROR WRONGNODE -\r\n")
             return
@@ -264,11 +284,13 @@
         session = {"values": {}, "names": {}, "state": "I", "read": False, "writes": [], "id": id(writer)}
         while True:
             line = await self._line(reader)
+            while caller in self.cut_callers:
+                await asyncio.sleep(0.05)
             if line == "BYE":
                 return
             _, request, text = line.split(" ", 2)
             answer = await self._execute(session, request, text)
-            while self.dark:  # the answer gets nowhere
+            while self.dark or caller in self.cut_callers:  # the answer gets nowhere
                 await asyncio.sleep(0.05)
             ready = f"READY {session['state']} {self.position()}"
             writer.write("".join(f"{one}\r\n" for one in [*answer, ready]).encode())
@@ -282,7 +304,7 @@
     async def _execute(self, session, request, text):
         if text.startswith("AFTER "):
             _, position, text = text.split(" ", 2)
-            if tuple(map(int, self.position().split("."))) < tuple(map(int, position.split("."))):
+            if not self.has_log or tuple(map(int, self.position().split("."))) < tuple(map(int, position.split("."))):
                 return self._fail(session, "LAGGING")
         word, _, rest = text.partition(" ")
         if self.refuse and request != "-" and (code := self.refuse(word)):
@@ -340,6 +362,7 @@
         entries = [(self.term, number, request, item, data) for _, item, data in writes]
         self.log += entries
         self.world.record.write(f"{self.id}: commits {self.term}.{number} {request}")
+        self.world.commits[request] = (self, self.world.record.now())
         received = asyncio.Event()
         for peer in self.world.members:
             if peer is not self:
@@ -351,7 +374,7 @@
         """Take the log of the primary up to an entry, unless paused or not a replica of it."""
         if self.primary or self.held > primary.term or not primary.primary or self.term > primary.term:
             return False
-        self.term = primary.term
+        self.term, self.has_log = primary.term, True
         if len(self.log) < length or self.log[:length] != primary.log[:length]:
             self.log = primary.log[:length]
         return True
@@ -359,6 +382,7 @@
     def _control(self, word, term):
         if word == "PAUSE" and term > self.term:
             self.held = term
+            self.on_pause()
         elif word == "RESUME":
             self.held = 0
         elif word == "STEPDOWN" and term > self.term and self.primary:
@@ -388,10 +412,11 @@
         self.on_ordered = lambda member: None
         self._temporary = Path(tempfile.mkdtemp(prefix="review-"))
         self._sent = {}
+        self.commits = {}  # by request id, the member and when it committed
         self.sent_at = {}  # by request id, when a client sent it
 
     async def start(self, *, kind="primary", gateways=3):
-        await self.store.start(f"{self.prefix}.1")
+        await self.store.start([f"{self.prefix}.{1 + index}" for index in range(gateways)])
         self.store.on_promotion = self._order
         self.store.put("op/config", json.dumps({
             "Version": 3,
@@ -437,10 +462,10 @@
 DrainMs = 7000
 GraceS = 6
 [platform]
-Address = "{self.store.host}:{STORE}"
+Address = "{self.store.hosts[index]}:{STORE}"
 form = "kv"
 [Cloud]
-Address = "{self.store.host}:{STORE}"
+Address = "{self.store.hosts[index]}:{STORE}"
 ''')
         output = (self._temporary / f"node-{index}.log").open("wb")
         process = subprocess.Popen(
@@ -530,7 +555,7 @@
             process.kill()
             process.wait()
         for line in self.read_logs().splitlines():
-            if any(name in line for name in ("primary_", "commits_may", "duty_", "setup_refused")):
+            if any(name in line for name in ("primary_", "lease_basis", "commits_may", "duty_", "setup_refused")):
                 self.record.write(f"log: {line}")
         self.record.close()
         shutil.rmtree(self._temporary, ignore_errors=True)
