Time the disruption of review case 6 by what the node asks

Cause: the case depended on when the node without the store asks the members, which another machine may shift.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,10 @@
 
 # Commits this soon after a promote are not counted.
 MARGIN_S = 0.05
-CALM_S, AWAY_S, CUT_AFTER_S, CUT_S, REPLICAS_AFTER_S, REPLICAS_DOWN_S = 4.0, 9.0, 3.25, 5.0, 0.1, 0.3
+CALM_S, AWAY_S, CUT_S, REPLICAS_AFTER_S, REPLICAS_DOWN_S = 4.0, 9.0, 5.0, 0.1, 0.3
+# The node without the store asks the members every 0.5 s. The pause, about 0.77 s after the cut, comes
+# some time after one of these questions.
+LEAST_AWAY_S, CUT_AFTER_QUESTION_S = 2.6, 0.4
 
 
 async def main(trouble):
@@ -35,8 +38,15 @@
         if trouble:
             world.record.write(f"trouble: the store turns the third gateway away for {AWAY_S} s (503)")
             world.store.turned_away.add(2)
-            await asyncio.sleep(CUT_AFTER_S)
+            away_since = world.record.now()
+            await asyncio.sleep(LEAST_AWAY_S)
             primary, *replicas = world.members
+            asked = asyncio.Event()
+            node = f"front-{ZONES[2]}-1"
+            primary.on_control = lambda caller, word: asked.set() if caller == node else None
+            async with asyncio.timeout(3.0):
+                await asked.wait()
+            await asyncio.sleep(CUT_AFTER_QUESTION_S)
             paused = asyncio.Event()
             for one in replicas:
                 one.on_pause = paused.set
@@ -52,7 +62,7 @@
             world.record.write("trouble: the replicas are back, and receive the log")
             await asyncio.sleep(CUT_S - 1.5)
             primary.cut_callers = set()
-            await asyncio.sleep(AWAY_S - CUT_AFTER_S - CUT_S)
+            await asyncio.sleep(max(0.0, away_since + AWAY_S - world.record.now()))
             world.store.turned_away.clear()
         await asyncio.sleep(4.0)
         running = False
--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -203,6 +203,7 @@
         self.cut_callers = set()  # nodes that are partitioned from it
         self.has_log = True
         self.on_pause = lambda: None
+        self.on_control = lambda caller, word: None
         self.on_run = None
         self.refuse = None
         self._seq = 0
@@ -281,7 +282,7 @@
             return
         await asyncio.sleep(0.012)
         writer.write(f"READY I {self.position()}\r\n".encode())
-        session = {"values": {}, "names": {}, "state": "I", "read": False, "writes": [], "id": id(writer)}
+        session = {"values": {}, "names": {}, "state": "I", "read": False, "writes": [], "caller": caller}
         while True:
             line = await self._line(reader)
             while caller in self.cut_callers:
@@ -310,6 +311,7 @@
         if self.refuse and request != "-" and (code := self.refuse(word)):
             return [f"ERROR {code} {self.id}"]
         if word in {"STATUS", "PAUSE", "RESUME", "STEPDOWN"}:
+            self.on_control(session["caller"], word)
             return self._control(word, int(rest or 0))
         if session["state"] == "E" and word != "ROLLBACK" and word != "COMMIT":
             return ["ERROR MALFORMED -"]
