--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,7 +7,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins2"))
 
-from world import ZONES, Client, World, run  # noqa: E402
+from world import Client, World, run  # noqa: E402
 
 # Commits this soon after a promote are not counted.
 MARGIN_S = 0.05
@@ -30,19 +30,23 @@
             await asyncio.sleep(0.01)
 
     try:
-        await world.start()
+        await world.start(gateways=4)
         world.on_promoted = lambda member: promoted.append((world.record.now(), member))
         hosts = [host for host, _ in world.gateways]
-        tasks = [asyncio.create_task(write(Client(world, hosts[n % 3], f"w{n}"), n)) for n in range(9)]
+        tasks = [asyncio.create_task(write(Client(world, hosts[n % 4], f"w{n}"), n)) for n in range(12)]
         await asyncio.sleep(CALM_S)
         if trouble:
-            world.record.write(f"trouble: the store turns the third gateway away for {AWAY_S} s (503)")
-            world.store.turned_away.add(2)
+            # The holder of the promotion lease wrote last under a condition. It and one other node lose the
+            # primary, a third one the store; the fourth is sound.
+            holder = world.store.last_writer
+            other, away, _ = (index for index in range(4) if index != holder)
+            node = world.nodes[away]
+            world.record.write(f"trouble: the store turns {node} away for {AWAY_S} s (503)")
+            world.store.turned_away.add(away)
             away_since = world.record.now()
             await asyncio.sleep(LEAST_AWAY_S)
             primary, *replicas = world.members
             asked = asyncio.Event()
-            node = f"front-{ZONES[2]}-1"
             primary.on_control = lambda caller, word: asked.set() if caller == node else None
             async with asyncio.timeout(3.0):
                 await asked.wait()
@@ -50,8 +54,8 @@
             paused = asyncio.Event()
             for one in replicas:
                 one.on_pause = paused.set
-            world.record.write(f"trouble: {primary.id} is partitioned from the first two gateways for {CUT_S} s")
-            primary.cut_callers = {f"front-{zone}-1" for zone in ZONES[:2]}
+            primary.cut_callers = {world.nodes[holder], world.nodes[other]}
+            world.record.write(f"trouble: {primary.id} is partitioned from {sorted(primary.cut_callers)} for {CUT_S} s")
             async with asyncio.timeout(3.0):
                 await paused.wait()
             for one in replicas:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -40,7 +40,7 @@
     async def disturb(successor):
         await asyncio.sleep(CRASH_AFTER_S)
         world.record.write(f"trouble: {successor.id} crashes for {CRASH_S} s")
-        crash = asyncio.create_task(successor.crash(CRASH_S))
+        crash = asyncio.create_task(successor.crash(CRASH_S, keeps_log=False))
         primary.cut_store = primary.cut_members = False
         world.record.write(f"trouble: the partition of {primary.id} ends")
         primary.beat()
--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -6,11 +6,13 @@
 import asyncio
 import base64
 import contextlib
+import ctypes
 import functools
 import json
 import os
 import random
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -23,7 +25,9 @@
 ROOT = Path(__file__).resolve().parents[2]
 FRONT, READY, PEER, STORE, MEMBER = 8784, 8785, 7440, 8783, 8620
 HEARTBEAT_S = 1.2
+LIMIT_S = 110.0
 ZONES = ("muc-nord", "nbg", "rgb")
+SERVICES = ("wendedb-a", "wendedb-b", "wendedb-c")
 
 
 def find_prefix():
@@ -39,6 +43,11 @@
     raise RuntimeError("no free loopback address")
 
 
+def end_with_parent():
+    """Let the kernel end a new process with the one that started it, however that ends."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 class Record:
     """What was sent, answered and run, for record.txt."""
 
@@ -70,6 +79,7 @@
     async def start(self, hosts):
         """Listen on an address for each gateway, so that single ones can be turned away."""
         self.hosts, self.turned_away = hosts, set()
+        self.last_writer = 0  # the gateway that wrote last under a condition
         self._servers = [
             await asyncio.start_server(functools.partial(self._serve, index), host, STORE) for index, host in enumerate(hosts)
         ]
@@ -122,8 +132,10 @@
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
                 await asyncio.sleep(0.004)
                 status, fields = 503, {}
-                if index not in self.turned_away:
+                if index not in self.turned_away or target == "/promotion":
                     status, fields = await self._answer(method, target, headers, body)
+                    if target == "/-/kv-txn" and status == 200 and json.loads(body).get("Expected"):
+                        self.last_writer = index
                 data = json.dumps(fields).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data
@@ -194,10 +206,11 @@
 class Member:
     """Member of a database service. `log` holds (term, number, request id, item, data)."""
 
-    def __init__(self, world, member_id, host, zone, *, primary):
+    def __init__(self, world, service, group, member_id, host, zone, *, primary):
         self.world, self.id, self.host, self.zone, self.primary = world, member_id, host, zone, primary
+        self.service, self.group = service, group
+        self.starts = 0
         self.term, self.held, self.log = 1, 0, []
-        self.busy_until = 0.0
         # Reached by nobody; not running; not reached by the store, or by the other members.
         self.dark = self.down = self.cut_store = self.cut_members = False
         self.cut_callers = set()  # nodes that are partitioned from it
@@ -209,7 +222,6 @@
         self._seq = 0
         self._writers = set()
         self._born = int(time.time() * 1000)
-        self._received = asyncio.Event()
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, self.host, MEMBER)
@@ -222,7 +234,7 @@
     def fields(self):
         self._seq += 1
         return {
-            "Service": self.world.service, "Address": f"{self.host}:{MEMBER}", "Zone": self.zone, "Version": "1", "Capacity": 2,
+            "Service": self.service, "Address": f"{self.host}:{MEMBER}", "Zone": self.zone, "Version": "1", "Capacity": 2,
             "State": "ready", "ColdMs": 0, "Seq": self._seq, "DbRole": "primary" if self.primary else "replica", "born": self._born,
         }
 
@@ -239,19 +251,20 @@
     async def crash(self, seconds, *, keeps_log=True):
         """Be down for a time, and come back under the same id; a replica may know nothing of before."""
         self.down = True
+        self.starts += 1
         self._server.close()
         self._reset()
         self.held = 0
         await asyncio.sleep(seconds)
         self.down = False
-        if any(one.primary and one.term > self.term for one in self.world.members):
+        if any(one.primary and one.term > self.term for one in self.group):
             self.primary = False
         if not keeps_log:
             self.log, self.has_log, self.term = [], False, 1
         self._born = int(time.time() * 1000)
         await self.start()
         self.beat()
-        for one in self.world.members:
+        for one in self.group:
             if one.primary and one is not self and one.reaches(self):
                 self.world.send_log(one, self, asyncio.Event())
 
@@ -272,9 +285,8 @@
 
     async def _session(self, reader, writer):
         word, service, caller, *rest = (await self._line(reader)).split(" ")
-        while caller in self.cut_callers:
-            await asyncio.sleep(0.05)
-        if word != "CONNECT" or service != self.world.service or (rest and rest[0] != self.id):
+        await self._until_reached(caller, reader)
+        if word != "CONNECT" or service != self.service or (rest and rest[0] != self.id):
             writer.write(b"ERROR WRONGNODE -\r\n")
             return
         if len(self._writers) > self.world.max_connections:
@@ -285,22 +297,25 @@
         session = {"values": {}, "names": {}, "state": "I", "read": False, "writes": [], "caller": caller}
         while True:
             line = await self._line(reader)
-            while caller in self.cut_callers:
-                await asyncio.sleep(0.05)
+            await self._until_reached(caller, reader)
             if line == "BYE":
                 return
             _, request, text = line.split(" ", 2)
             answer = await self._execute(session, request, text)
-            while self.dark or caller in self.cut_callers:  # the answer gets nowhere
-                await asyncio.sleep(0.05)
+            await self._until_reached(caller, reader)  # the answer gets nowhere
             ready = f"READY {session['state']} {self.position()}"
             writer.write("".join(f"{one}\r\n" for one in [*answer, ready]).encode())
 
     async def _line(self, reader):
-        line = (await reader.readuntil(b"\r\n")).decode("latin-1")[:-2]
-        while self.dark:
-            await asyncio.sleep(0.05)
-        return line
+        return (await reader.readuntil(b"\r\n")).decode("latin-1")[:-2]
+
+    async def _until_reached(self, caller, reader):
+        """Hold what a partition holds up; it is lost if the caller resets, or after 3 s."""
+        since = time.monotonic()
+        while self.dark or caller in self.cut_callers:
+            await asyncio.sleep(0.02)
+            if reader.at_eof() or reader.exception() is not None or time.monotonic() > since + 3.0:
+                raise ConnectionResetError
 
     async def _execute(self, session, request, text):
         if text.startswith("AFTER "):
@@ -340,7 +355,10 @@
         item, _, data = rest.partition(" ")
         if word != "READ" and not self.primary and (word != "COMMIT" or session["writes"]):
             return self._fail(session, "READONLY")
+        starts = self.starts
         await asyncio.sleep(0.003)
+        if starts != self.starts:
+            raise ConnectionResetError  # it has crashed meanwhile
         if word != "READ" and not self.primary and (word != "COMMIT" or session["writes"]):
             return self._fail(session, "READONLY")
         if self.on_run:
@@ -366,7 +384,7 @@
         self.world.record.write(f"{self.id}: commits {self.term}.{number} {request}")
         self.world.commits[request] = (self, self.world.record.now())
         received = asyncio.Event()
-        for peer in self.world.members:
+        for peer in self.group:
             if peer is not self:
                 self.world.send_log(self, peer, received)
         if self.world.synchronous:
@@ -400,15 +418,20 @@
 
 
 class World:
-    """Everything of one run: store, members of one service, gateways, clients."""
+    """Everything of one run: store, nine members of three services, gateways, clients.
+
+    `members` are those of the service that the clients use; the others are idle.
+    """
 
     def __init__(self, folder, *, synchronous=False, promote_s=1.0, max_connections=16, receive_s=(0.02, 0.6)):
         self.record = Record(Path(folder) / "record.txt")
-        self.service, self.database = "wendedb-a", "kaba98a"
+        self.database = "kaba98a"
         self.synchronous, self.promote_s, self.max_connections, self.receive_s = synchronous, promote_s, max_connections, receive_s
         self.prefix = find_prefix()
         self.store = Store(self.record)
-        self.members, self.gateways, self.tasks, self.connections = [], [], [], []
+        self.groups, self.gateways, self.tasks, self.connections = [[], [], []], [], [], []
+        self.members = self.groups[0]
+        self.nodes = []
         self.rng = random.Random(1)
         self.on_promoted = lambda member: None
         self.on_ordered = lambda member: None
@@ -422,14 +445,18 @@
         self.store.on_promotion = self._order
         self.store.put("op/config", json.dumps({
             "Version": 3,
-            "Routes": [{"Host": self.database, "Service": self.service, "Type": kind, "MaxStalenessMs": 1500, "TimeoutMs": 800,
-                        "TargetLatencyMs": 250, "Priority": 0}],
-            "Services": [{"Name": self.service, "MaxConns": self.max_connections, "SyncReplicas": int(self.synchronous)}],
+            "Routes": [{"Host": database, "Service": service, "Type": kind, "MaxStalenessMs": 1500, "TimeoutMs": 800,
+                        "TargetLatencyMs": 250, "Priority": 0}
+                       for database, service in zip((self.database, "lepu270", "huvo11a"), SERVICES)],
+            "Services": [{"Name": service, "MaxConns": self.max_connections, "SyncReplicas": int(self.synchronous)}
+                         for service in SERVICES],
             "Limits": {"IdleTxMs": 3000},
         }).encode())
-        for index in range(3):
-            member = Member(self, f"i-{index + 1:08x}", f"{self.prefix}.{64 + index}", ZONES[index], primary=index == 0)
-            self.members.append(member)
+        for number in range(9):
+            group, index = self.groups[number // 3], number % 3
+            member = Member(self, SERVICES[number // 3], group, f"i-{number + 1:08x}", f"{self.prefix}.{64 + number}", ZONES[index],
+                            primary=index == number // 3)
+            group.append(member)
             await member.start()
             member.beat()
         self.tasks += [asyncio.create_task(self._beat()), asyncio.create_task(self._catch_up())]
@@ -445,12 +472,14 @@
     def _start_gateway(self, index):
         host = f"{self.prefix}.{10 + index}"
         path = self._temporary / f"node-{index}.toml"
-        path.write_text(f'''Node = "front-{ZONES[index]}-1"
+        zone, name = ZONES[index % 3], f"front-{ZONES[index % 3]}-{1 + index // 3}"
+        self.nodes.append(name)
+        path.write_text(f'''Node = "{name}"
 Role = "gateway"
 Class = "front"
 Serves = ["front"]
 Ip = "{host}"
-Zone = "{ZONES[index]}"
+Zone = "{zone}"
 Region = "bayern"
 PeerPorts = [{PEER},{PEER + 15}]
 HeartbeatMs = 1200
@@ -472,6 +501,7 @@
         output = (self._temporary / f"node-{index}.log").open("wb")
         process = subprocess.Popen(
             ["python3", "-S", "deploy/start.py"], cwd=ROOT, stdout=output, stderr=output,
+            preexec_fn=end_with_parent,
             env={"PATH": os.environ["PATH"], "LANG": "C.UTF-8", "PYTHONPATH": str(ROOT / "target/deps"), "BURDOCKRUN_SETTINGS": str(path)},
         )
         self.gateways.append((host, process))
@@ -488,7 +518,7 @@
 
     async def _beat(self):
         while True:
-            for member in self.members:
+            for member in sum(self.groups, []):
                 member.beat()
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -497,21 +527,24 @@
         seen = {}
         while True:
             await asyncio.sleep(0.1)
-            primary = max((one for one in self.members if one.primary), key=lambda one: one.term, default=None)
-            if primary is None:
+            for group in self.groups:
+                primary = max((one for one in group if one.primary), key=lambda one: one.term, default=None)
+                if primary is not None:
+                    self._follow(primary, group, seen)
+
+    def _follow(self, primary, group, seen):
+        for member in group:
+            if member is primary or not primary.reaches(member):
+                seen.pop(member.id, None)
                 continue
-            for member in self.members:
-                if member is primary or not primary.reaches(member):
-                    seen.pop(member.id, None)
+            if member.primary and member.term < primary.term:
+                # The old primary continues until a second after it can reach the new one.
+                if time.monotonic() - seen.setdefault(member.id, time.monotonic()) < 1.0:
                     continue
-                if member.primary and member.term < primary.term:
-                    # The old primary continues until a second after it can reach the new one.
-                    if time.monotonic() - seen.setdefault(member.id, time.monotonic()) < 1.0:
-                        continue
-                    member.primary = False
-                    self.record.write(f"{member.id}: follows {primary.id} and rolls back what that one lacks")
-                if len(member.log) != len(primary.log):
-                    self.send_log(primary, member, asyncio.Event())
+                member.primary = False
+                self.record.write(f"{member.id}: follows {primary.id} and rolls back what that one lacks")
+            if len(member.log) != len(primary.log):
+                self.send_log(primary, member, asyncio.Event())
 
     def send_log(self, primary, peer, received):
         """Let a replica receive the log as it is now, after its delay and in order."""
@@ -529,21 +562,23 @@
         loop.call_at(at, arrive)
 
     def _order(self, service, member_id):
-        member = next((one for one in self.members if one.id == member_id), None)
-        if member is None or member.down or member.dark:
+        member = next((one for one in sum(self.groups, []) if one.id == member_id), None)
+        if member is None or member.down:
             return 409
-        if member.primary and member.term == max(one.term for one in self.members):
+        if member.primary and member.term == max(one.term for one in member.group):
             return 200
         self.on_ordered(member)
         asyncio.get_running_loop().call_later(self.promote_s, self._promote, member)
         return 200
 
     def _promote(self, member):
-        if member.down or member.dark or (member.primary and member.term == max(one.term for one in self.members)):
+        newest = max(one.term for one in member.group)
+        if member.primary and member.term == newest:
+            return
+        if member.down:
             self.record.write(f"platform: the order for {member.id} has no effect: it is not running")
             return
-        member.term = max(max(one.term, one.held) for one in self.members if not (one.down or one.dark)) + 1
-        member.primary, member.held = True, 0
+        member.primary, member.term, member.held = True, newest + 1, 0
         self.record.write(f"platform: {member.id} leads term {member.term} at {member.position()}")
         member.beat()
         self.on_promoted(member)
@@ -591,7 +626,7 @@
             sent = self.world.sent_at[request] = self.world.record.now()
             self.world.record.write(f"{self.name}: sends {request} {text}")
             self._writer.write(f"QUERY {request} {text}\r\n".encode())
-            lines = []
+            lines: list[str] = []
             async with asyncio.timeout(3.0):
                 while not lines or not lines[-1].startswith("READY"):
                     lines.append((await self._reader.readuntil(b"\r\n")).decode()[:-2])
@@ -600,7 +635,7 @@
             self.world.record.write(f"{self.name}: {request} has no answer")
             return request, sent, []
         self.world.record.write(f"{self.name}: {request} is answered {' / '.join(lines)}")
-        if not lines[-1].startswith("READY I") and not text.startswith(("BEGIN", "READ", "WRITE")):
+        if not lines[-1].startswith("READY I"):
             self.close()
         return request, sent, lines
 
@@ -613,11 +648,14 @@
 def run(main):
     """Run a case; the status is 1 if the rule was broken, 0 if it held, 2 if it could not run."""
 
-
     async def end():
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         try:
-            status = await main(os.environ.get("TROUBLE", "1") != "0")
-        except Exception as error:  # noqa: BLE001
+            async with asyncio.timeout(LIMIT_S):
+                status = await main(os.environ.get("TROUBLE", "1") != "0")
+        except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
             print(f"the case could not run: {error!r}")
             status = 2
         sys.stdout.flush()
