--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
 
 # Commits this soon after a promote are not counted.
 MARGIN_S = 0.05
-CALM_S, AWAY_S, CUT_S, REPLICAS_AFTER_S, REPLICAS_DOWN_S = 4.0, 9.0, 5.0, 0.1, 0.3
+CALM_S, AWAY_S, CUT_S, REPLICAS_AFTER_S, REPLICAS_DOWN_S = 4.0, 9.0, 5.0, 0.1, 0.35
 # The node without the store asks the members every 0.5 s. The pause, about 0.77 s after the cut, comes
 # some time after one of these questions.
 LEAST_AWAY_S, CUT_AFTER_QUESTION_S = 2.6, 0.4
