Check that the members have stayed paused before a promotion is ordered

Cause: A node without the store uses a primary while a majority of the members reports no pause. The holder of the promotion lease paused a majority, waited 1.6 s for these leases to end, and ordered the promotion, though a member forgets its pause when it restarts. If it restarts between two questions of the node, no report ever shows the pause. Change: After the wait the members are asked again. Unless all nodes have acknowledged the change, a majority must still be paused; it then has been all the while, and a node that asks at least as often as its lease lasts has seen it. Otherwise the step fails and is repeated.

--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -1,7 +1,7 @@
 """Replacement of primaries while this node holds the promotion lease."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import replace
 from functools import partial
 from typing import Any
@@ -265,8 +265,10 @@
         paused: dict[str, MemberStatus] = {}
         if final_position is None:
             paused = await self._async_pause_majority(group, record)
-            await self._async_wait_stopped(group, record, stepped_down=False)
-            self._check_lapsed_members(group, record, paused)
+            lasting = paused
+            if not await self._async_wait_stopped(group, record, stepped_down=False):
+                lasting = await self._async_check_pause(group, record, paused)
+            self._check_lapsed_members(group, record, lasting)
             succession = await self._successor_search.async_find(group, record, paused, None)
         else:
             # Nobody can use the previous primary by reports, as it says that it does not lead.
@@ -339,9 +341,12 @@
 
     async def _async_wait_stopped(
         self, group: Group, record: GroupRecord, *, stepped_down: bool
-    ) -> None:
+    ) -> bool:
         """Wait until no node can still use the previous primary.
 
+        Returns whether all nodes have acknowledged that. Otherwise their leases have ended, if a
+        majority of the members has been paused all the while.
+
         A refused connection does not prove that it has stopped: a partition may refuse connections
         too, and the nodes on its side use it until their leases end.
         """
@@ -366,6 +371,7 @@
             unacknowledged=len(pending),
             nodes=" ".join(sorted(pending)[:MAX_LOGGED_NODES]),
         )
+        return proof == "acknowledged"
 
     async def _async_stop_previous(self, group: Group, record: GroupRecord) -> LogPosition | None:
         """Make the previous primary a replica; return its last position, None if uncertain."""
@@ -413,6 +419,25 @@
             raise StepFailedError("no majority of the members can be paused")
         return statuses
 
+    async def _async_check_pause(
+        self, group: Group, record: GroupRecord, paused: Mapping[str, MemberStatus]
+    ) -> dict[str, MemberStatus]:
+        """Return the members that are still paused; fail if they are no majority.
+
+        A member that restarts forgets the pause, and a node without the store that has not asked it
+        meanwhile would count it for the previous primary. One that is paused now has been so since
+        it was told, for longer than any node counts a member between two reports.
+        """
+        statuses = await async_ask_members(group, record.previous)
+        lasting = {
+            member_id: status
+            for member_id, status in statuses.items()
+            if member_id in paused and max(status.held_term, status.term) >= record.held_term
+        }
+        if not is_majority_paused(lasting, group.primary_lease.members, record.previous):
+            raise StepFailedError("no majority of the members has stayed paused")
+        return lasting
+
     def _check_lapsed_members(
         self, group: Group, record: GroupRecord, paused: dict[str, MemberStatus]
     ) -> None:
--- a/tests/site/test_supervision.py
+++ b/tests/site/test_supervision.py
@@ -21,6 +21,7 @@
 from result import Err, Ok
 
 from tests.site.common import SERVICE, Deployment, async_deploy, error_of, read_events
+from tests.site.members import FakeMember
 from tests.site.store import FakeStore
 
 # A change of primary is over within this time.
@@ -32,6 +33,20 @@
     return SystemClock().now_ms()
 
 
+def forget_first_pause(member: FakeMember) -> None:
+    """Let a member forget its first pause as soon as it has answered, as a restart does."""
+    control = member._control
+
+    def answer(word: str, term: int) -> list[str]:
+        lines = control(word, term)
+        if word == "PAUSE":
+            member.held_term = 0
+            member._control = control  # type: ignore[method-assign]
+        return lines
+
+    member._control = answer  # type: ignore[method-assign]
+
+
 def find_other_node(deployment: Deployment) -> int:
     """Return the index of a gateway that does not hold the promotion lease."""
     holder = deployment.store.entries["burdockrun/duty"].value.decode()
@@ -539,3 +554,29 @@
         group.pools[resumed].closed = False
         await asyncio.sleep(2.5)
         assert error_of(await client.async_query("WRITE ward v1")) != ""
+
+
+async def test_replicas_that_restart_while_paused_do_not_count_for_the_old_primary() -> None:
+    """Guards against a write at a superseded primary through a node that has missed the pause.
+
+    The node has no store and reaches all members. The replicas are paused and restart between two
+    of its questions, so their reports never show the pause.
+    """
+    async with async_deploy(gateways=3) as deployment:
+        await asyncio.sleep(1.0)
+        inside = find_other_node(deployment)
+        client = await deployment.async_connect("urgent", inside)
+        for task in deployment.gateways[inside]._tasks.tasks[:-1]:
+            task.cancel()
+        group = deployment.gateways[inside].directory.groups[SERVICE]
+        await deployment.async_wait_until(lambda: group.primary_lease.basis(now_ms()) == "reports")
+        deployment.store.promote_delay_s = 0.8
+        for name in "bc":
+            forget_first_pause(deployment.members[name])
+        cut_off_from_other_nodes(deployment, inside, "a")
+        await deployment.async_wait_until(
+            lambda: deployment.members["b"].primary or deployment.members["c"].primary, 12.0
+        )
+        answer = await client.async_query("WRITE ward v1")
+        # By the reports of the members the node may know the next primary, whose term is 2.
+        assert error_of(answer) != "" or answer[-1].startswith("READY I 2.")
