Count a replica after a long gap only if its process has not changed

Cause: A report of a replica counted for the primary lease if the node had heard of it within the last 2.4 s, which is shorter than any pause that ends with RESUME. A pause that ends with a restart is known to last only while the holder of the promotion lease waits for the leases, 1.6 s. Change: A report carries since when its process is known to have run: since it accepted the connection. After a gap longer than a lease it counts only if that is older than the gap; never through a home, whose connections the node does not know.

--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -509,13 +509,12 @@
         self._tasks.start("probe", self._async_probe(pool))
 
     async def _async_probe(self, pool: MemberPool) -> None:
-        result = await self.control(pool).async_status()
-        if result is None or self.pools.get(pool.entry.id) is not pool:
+        report = await self.control(pool).async_status()
+        if report is None or self.pools.get(pool.entry.id) is not pool:
             return
-        status, sent_ms = result
         now_ms = self._app.clock.now_ms()
         had_primary = self.primary_lease.primary(now_ms)
-        self.primary_lease.add_report(pool.entry.id, status, sent_ms, now_ms)
+        self.primary_lease.add_report(pool.entry.id, report, now_ms)
         if not had_primary and self.primary_lease.primary(self._app.clock.now_ms()):
             self.changed.notify()
 
--- a/libs/gateway/burdockrun_gateway/observers.py
+++ b/libs/gateway/burdockrun_gateway/observers.py
@@ -2,8 +2,8 @@
 
 from typing import Protocol
 
-from burdockrun_groups import ConnectionPlan
-from burdockrun_statements import MemberStatus, Statement
+from burdockrun_groups import ConnectionPlan, StatusReport
+from burdockrun_statements import Statement
 
 from burdockrun_gateway.const import (
     OBSERVER_ALERT_MS,
@@ -24,10 +24,10 @@
 
     async def async_status(
         self, statement: Statement | None = None, timeout_ms: int = STATUS_TIMEOUT_MS
-    ) -> tuple[MemberStatus, int] | None:
+    ) -> StatusReport | None:
         """Send a statement that is answered with the status of the member, by default STATUS.
 
-        Returns the status and the time of sending, or None without an answer.
+        Returns None without an answer.
         """
         ...
 
@@ -65,7 +65,7 @@
 
     async def async_status(
         self, statement: Statement | None = None, timeout_ms: int = STATUS_TIMEOUT_MS
-    ) -> tuple[MemberStatus, int] | None:
+    ) -> StatusReport | None:
         """Send a statement that is answered with the status of the member, by default STATUS."""
         return await self._own.async_status(statement, timeout_ms)
 
--- a/libs/gateway/burdockrun_gateway/pools.py
+++ b/libs/gateway/burdockrun_gateway/pools.py
@@ -7,7 +7,7 @@
 from typing import Any, Final
 
 from burdockrun_base import Application, LogPosition
-from burdockrun_groups import ConnectionPlan, MemberEntry, MemberLoad, NodeEntry
+from burdockrun_groups import ConnectionPlan, MemberEntry, MemberLoad, NodeEntry, StatusReport
 from burdockrun_statements import (
     Answer,
     Conclusion,
@@ -430,6 +430,13 @@
 
     async def async_control(self, statement: Statement, timeout_ms: int) -> Answer | None:
         """Send a statement of the gateway itself; return the answer, None if none arrived."""
+        answered = await self._async_ask(statement, timeout_ms)
+        return answered[0] if answered is not None else None
+
+    async def _async_ask(
+        self, statement: Statement, timeout_ms: int
+    ) -> tuple[Answer, MemberLink] | None:
+        """Return the answer to a statement, and the connection on which it came."""
         acquired = await self.async_acquire(RequestPriority(rank=-1, wait_ms=timeout_ms), None)
         if isinstance(acquired, Err):
             return None
@@ -441,23 +448,27 @@
             self.discard(link)
             return None
         self.release(link)
-        return answers[-1]
+        return answers[-1], link
 
     async def async_status(
         self, statement: Statement | None = None, timeout_ms: int = STATUS_TIMEOUT_MS
-    ) -> tuple[MemberStatus, int] | None:
+    ) -> StatusReport | None:
         """Send a statement that is answered with the status of the member, by default STATUS.
 
-        Returns the status and the time of sending, or None without an answer.
+        Returns None without an answer.
         """
         sent_ms = self._app.clock.now_ms()
-        answer = await self.async_control(
+        answered = await self._async_ask(
             statement or Statement(kind=StatementKind.STATUS), timeout_ms
         )
-        status = self._read_status(answer) if answer is not None else None
+        if answered is None:
+            return None
+        answer, link = answered
+        status = self._read_status(answer)
         if status is None:
             return None
-        return status, sent_ms
+        running_since_ms = link.opened_ms if link.home is None else None
+        return StatusReport(status=status, sent_ms=sent_ms, running_since_ms=running_since_ms)
 
     def tick(self) -> None:
         """Keep the minimum of open connections; close those that are silent or not needed."""
--- a/libs/gateway/burdockrun_gateway/successors.py
+++ b/libs/gateway/burdockrun_gateway/successors.py
@@ -28,7 +28,7 @@
     pools = [pool for member_id, pool in group.pools.items() if member_id != excluded]
     answers = await asyncio.gather(*(group.control(pool).async_status(statement) for pool in pools))
     return {
-        pool.entry.id: answer[0]
+        pool.entry.id: answer.status
         for pool, answer in zip(pools, answers, strict=True)
         if answer is not None
     }
@@ -49,10 +49,10 @@
         pool = group.pools.get(member_id)
         step_down = Statement(kind=StatementKind.STEP_DOWN, term=record.held_term)
         answered = await group.control(pool).async_status(step_down) if pool is not None else None
-        if answered is None or answered[0].is_primary:
+        if answered is None or answered.status.is_primary:
             del stopped[member_id]
         else:
-            stopped[member_id] = answered[0]
+            stopped[member_id] = answered.status
     return stopped
 
 
@@ -62,9 +62,9 @@
     if pool is None or not group.control(pool).is_usable():
         return None
     answered = await group.control(pool).async_status()
-    if answered is None or answered[0].is_primary:
+    if answered is None or answered.status.is_primary:
         return None
-    return answered[0].received
+    return answered.status.received
 
 
 class SuccessorSearch:
--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -195,7 +195,7 @@
         """Replace the primary if it answers that it does not lead, which ends all writes."""
         pool = group.primary_pool()
         answered = await group.control(pool).async_status() if pool is not None else None
-        if answered is not None and not answered[0].is_primary:
+        if answered is not None and not answered.status.is_primary:
             await self._async_change(group, Reason.DEMOTED)
 
     def close(self) -> None:
@@ -381,7 +381,7 @@
         answered = await group.control(pool).async_status()
         if answered is None:
             return None
-        status = answered[0]
+        status = answered.status
         if status.is_primary:
             # The next holder may have made it the primary again.
             if not self._promotion_lease.is_held():
@@ -389,9 +389,9 @@
             stopped = await group.control(pool).async_status(
                 Statement(kind=StatementKind.STEP_DOWN, term=max(record.held_term, status.term + 1))
             )
-            if stopped is None or stopped[0].is_primary:
+            if stopped is None or stopped.status.is_primary:
                 return None
-            status = stopped[0]
+            status = stopped.status
         elif status.held_term < record.held_term and status.term < record.held_term:
             return None
         return status.received
@@ -493,8 +493,8 @@
             if not ordered:
                 ordered = await self._async_request_promotion(group, record)
             answered = await group.control(pool).async_status() if pool is not None else None
-            if answered is not None and answered[0].is_primary:
-                await self._async_complete(group, record, answered[0].term)
+            if answered is not None and answered.status.is_primary:
+                await self._async_complete(group, record, answered.status.term)
                 return
             if answered is None and (term := _find_own_term(group, record)) is not None:
                 await self._async_complete(group, record, term)
--- a/libs/groups/burdockrun_groups/__init__.py
+++ b/libs/groups/burdockrun_groups/__init__.py
@@ -18,6 +18,7 @@
     NodeEntry,
     Route,
     ServiceLimits,
+    StatusReport,
     Suspicion,
 )
 from burdockrun_groups.primary_lease import PrimaryLease, find_reported_primary
@@ -70,6 +71,7 @@
     "Requirement",
     "Route",
     "ServiceLimits",
+    "StatusReport",
     "Succession",
     "SuccessionEvidence",
     "Suspicion",
--- a/libs/groups/burdockrun_groups/models.py
+++ b/libs/groups/burdockrun_groups/models.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from burdockrun_base import LogPosition
+from burdockrun_statements import MemberStatus
 
 from burdockrun_groups.accounts import AccountTable
 
@@ -84,6 +85,19 @@
         return (self.started_at_ms, self.sequence) < (other.started_at_ms, other.sequence)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StatusReport:
+    """Status that a member has told in answer to a statement sent at `sent_ms`.
+
+    Its process is known to have run since `running_since_ms`, when it accepted the connection; None
+    if the answer came through a home, which may reach a later process.
+    """
+
+    status: MemberStatus
+    sent_ms: int
+    running_since_ms: int | None
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GroupRecord:
     """Agreed primary of a group; `primary` is empty while it is being replaced.
--- a/libs/groups/burdockrun_groups/primary_lease.py
+++ b/libs/groups/burdockrun_groups/primary_lease.py
@@ -8,8 +8,9 @@
 - A majority of the known members, the primary among them, has reported within that time, and no
   member has reported since the record was confirmed that it is paused for a new term or knows a
   later one. A promotion pauses a majority for the new term before it waits for the leases to end.
-  A member that is resumed does not report that it was paused. Its reports therefore count only if
-  the node has heard of it, or of the record, at intervals shorter than any pause.
+  A member that is resumed or restarts does not report that it was paused. Its reports therefore
+  count only if the node has heard of it, or of the record, at intervals shorter than any pause.
+  A pause that ends with a restart may be as short as the wait of a promotion for the leases to end.
   When the store has not confirmed the members for `KNOWN_MEMBERS_MS`, all of them must report,
   since a promotion no longer counts those that have lapsed.
 """
@@ -21,7 +22,7 @@
 from burdockrun_statements import MemberStatus
 
 from burdockrun_groups.const import KNOWN_MEMBERS_MS, MAX_REPORT_GAP_MS, PRIMARY_LEASE_MS
-from burdockrun_groups.models import GroupRecord, MemberEntry
+from burdockrun_groups.models import GroupRecord, MemberEntry, StatusReport
 
 
 def find_reported_primary(statuses: Mapping[str, MemberStatus], needed: int) -> str:
@@ -43,7 +44,7 @@
 class _Report:
     sent_ms: int
     status: MemberStatus
-    # Whether the member cannot have been paused and resumed since the record was confirmed.
+    # Whether the member cannot have been paused unseen since the record was confirmed.
     continuous: bool
 
 
@@ -82,25 +83,25 @@
         """Mark the known members as current as of `sent_ms`."""
         self.members_sent_ms = max(self.members_sent_ms, sent_ms)
 
-    def add_report(
-        self, member_id: str, status: MemberStatus, sent_ms: int, received_ms: int
-    ) -> None:
+    def add_report(self, member_id: str, report: StatusReport, received_ms: int) -> None:
         """Keep the status that a member has reported at some time between sending and receipt.
 
         Its term is kept for longer: a member that restarts, or is resumed before it follows the
         next primary, no longer reports the term for which it was paused.
         """
+        status = report.status
         term = max(status.held_term, status.term)
         if term >= self.reported_term:
-            self.reported_term, self.reported_ms = term, max(self.reported_ms, sent_ms)
+            self.reported_term, self.reported_ms = term, max(self.reported_ms, report.sent_ms)
         previous = self.reports.get(member_id)
         known_ms = self.record_sent_ms
         if previous is not None and previous.continuous:
             known_ms = max(known_ms, previous.sent_ms)
+        since_ms = report.running_since_ms
+        is_same_process = since_ms is not None and since_ms <= known_ms
+        gap_ms = MAX_REPORT_GAP_MS if is_same_process else PRIMARY_LEASE_MS
         self.reports[member_id] = _Report(
-            sent_ms=sent_ms,
-            status=status,
-            continuous=received_ms - known_ms < MAX_REPORT_GAP_MS,
+            sent_ms=report.sent_ms, status=status, continuous=received_ms - known_ms < gap_ms
         )
 
     def forget_report(self, member_id: str) -> None:
--- a/tests/gateway/test_group.py
+++ b/tests/gateway/test_group.py
@@ -10,7 +10,7 @@
 from burdockrun_statements import Answer
 
 from tests.gateway.test_pools import FakeConnector
-from tests.groups.common import build_entry, build_record, build_status
+from tests.groups.common import build_entry, build_record, build_report, build_status
 
 PRIORITY = RequestPriority(rank=0, wait_ms=100)
 POSITION = LogPosition(term=1, index=7)
@@ -48,7 +48,8 @@
     connector.position = POSITION
     pool = group.pools["b"]
     assert (await pool.async_acquire(PRIORITY, None)).is_ok()
-    group.primary_lease.add_report("b", build_status(), clock.now_ms(), clock.now_ms())
+    report = build_report(build_status(), clock.now_ms())
+    group.primary_lease.add_report("b", report, clock.now_ms())
     group.note_lagging("b", Requirement(clock.now_ms() - 300, POSITION))
     clock.advance(2_000)
     (option,) = group.read_options(set())
--- a/tests/groups/common.py
+++ b/tests/groups/common.py
@@ -1,7 +1,7 @@
 """Builders for the tests of database groups."""
 
 from burdockrun_base import LogPosition
-from burdockrun_groups import GroupRecord, MemberEntry
+from burdockrun_groups import GroupRecord, MemberEntry, StatusReport
 from burdockrun_statements import MemberStatus
 
 
@@ -37,6 +37,13 @@
     )
 
 
+def build_report(
+    status: MemberStatus, sent_ms: int, *, running_since_ms: int | None = 0
+) -> StatusReport:
+    """Return a report of a member, by default of a process that has run all the while."""
+    return StatusReport(status=status, sent_ms=sent_ms, running_since_ms=running_since_ms)
+
+
 def build_record(primary: str, epoch: int = 1, **fields: object) -> GroupRecord:
     """Return a group record of the service `wendedb`."""
     return GroupRecord(service="wendedb", primary=primary, epoch=epoch, **fields)  # type: ignore[arg-type]
--- a/tests/groups/test_primary_lease.py
+++ b/tests/groups/test_primary_lease.py
@@ -4,7 +4,7 @@
 from burdockrun_groups import KNOWN_MEMBERS_MS, MIN_PAUSE_MS, PRIMARY_LEASE_MS, PrimaryLease
 from burdockrun_statements import MemberStatus
 
-from tests.groups.common import build_entry, build_record, build_status
+from tests.groups.common import build_entry, build_record, build_report, build_status
 
 
 @pytest.fixture(name="primary_lease")
@@ -24,8 +24,8 @@
     if member_id in primary_lease.reports:
         known_ms = max(known_ms, primary_lease.reports[member_id].sent_ms)
     for earlier_ms in range(known_ms + 500, now_ms, 500):
-        primary_lease.add_report(member_id, build_status(), earlier_ms, earlier_ms)
-    primary_lease.add_report(member_id, status, now_ms, now_ms)
+        primary_lease.add_report(member_id, build_report(build_status(), earlier_ms), earlier_ms)
+    primary_lease.add_report(member_id, build_report(status, now_ms), now_ms)
 
 
 def test_a_lease_expires(primary_lease: PrimaryLease) -> None:
@@ -83,21 +83,45 @@
     primary_lease: PrimaryLease,
 ) -> None:
     """Guards against an old primary that is used through a replica that has been resumed."""
-    primary_lease.add_report("a", build_status(primary=True), 2_000, 2_000)
-    primary_lease.add_report("b", build_status(), 2_000, 2_000)
+    primary_lease.add_report("a", build_report(build_status(primary=True), 2_000), 2_000)
+    primary_lease.add_report("b", build_report(build_status(), 2_000), 2_000)
     assert primary_lease.primary(2_500) == "a"
     now_ms = 2_000 + MIN_PAUSE_MS
-    primary_lease.add_report("a", build_status(primary=True), now_ms, now_ms)
-    primary_lease.add_report("b", build_status(), now_ms - 400, now_ms)
-    primary_lease.add_report("b", build_status(), now_ms, now_ms)
+    primary_lease.add_report("a", build_report(build_status(primary=True), now_ms), now_ms)
+    primary_lease.add_report("b", build_report(build_status(), now_ms - 400), now_ms)
+    primary_lease.add_report("b", build_report(build_status(), now_ms), now_ms)
     assert primary_lease.primary(now_ms) == ""
     primary_lease.confirm_record(build_record("a"), now_ms)
     later_ms = now_ms + PRIMARY_LEASE_MS
-    primary_lease.add_report("a", build_status(primary=True), later_ms, later_ms)
-    primary_lease.add_report("b", build_status(), later_ms, later_ms)
+    primary_lease.add_report("a", build_report(build_status(primary=True), later_ms), later_ms)
+    primary_lease.add_report("b", build_report(build_status(), later_ms), later_ms)
     assert primary_lease.primary(later_ms) == "a"
 
 
+@pytest.mark.parametrize(
+    ("gap_ms", "running_since_ms", "counts"),
+    [
+        (PRIMARY_LEASE_MS - 1, None, True),
+        (PRIMARY_LEASE_MS, None, False),
+        (PRIMARY_LEASE_MS, 2_001, False),
+        (PRIMARY_LEASE_MS, 2_000, True),
+    ],
+)
+def test_a_replica_that_may_have_restarted_since_its_last_report_counts_only_after_short_gaps(
+    primary_lease: PrimaryLease, gap_ms: int, running_since_ms: int | None, counts: bool
+) -> None:
+    """Guards against an old primary that is used through a replica that restarted while paused.
+
+    Its pause is known to last only until the leases of other nodes have ended.
+    """
+    primary_lease.add_report("b", build_report(build_status(), 2_000), 2_000)
+    now_ms = 2_000 + gap_ms
+    primary_lease.add_report("a", build_report(build_status(primary=True), now_ms), now_ms)
+    report = build_report(build_status(), now_ms, running_since_ms=running_since_ms)
+    primary_lease.add_report("b", report, now_ms)
+    assert primary_lease.primary(now_ms) == ("a" if counts else "")
+
+
 def test_a_pause_is_remembered_when_the_member_has_forgotten_it(
     primary_lease: PrimaryLease,
 ) -> None:
