Check the pause of the members also after a primary has stepped down

Cause: When the previous primary answers STEPDOWN, the replicas were told to pause, but nobody looked whether they did and still do. A primary that restarts before its successor leads goes on in its old term, and a node without the store that sees an unpaused replica counts both as a majority. Change: Both ways of a change share the step that waits for the leases and checks the pause and the lapsed members.

--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -265,10 +265,7 @@
         paused: dict[str, MemberStatus] = {}
         if final_position is None:
             paused = await self._async_pause_majority(group, record)
-            lasting = paused
-            if not await self._async_wait_stopped(group, record, stepped_down=False):
-                lasting = await self._async_check_pause(group, record, paused)
-            self._check_lapsed_members(group, record, lasting)
+            await self._async_end_leases(group, record, paused, stepped_down=False)
             succession = await self._successor_search.async_find(group, record, paused, None)
         else:
             # Nobody can use the previous primary by reports, as it says that it does not lead.
@@ -277,8 +274,8 @@
                 group, record, paused, final_position
             )
             # Until the successor leads, the previous primary would lead again after a restart.
-            await async_ask_members(group, record.previous, _build_pause(record))
-            await self._async_wait_stopped(group, record, stepped_down=True)
+            paused = await async_ask_members(group, record.previous, _build_pause(record))
+            await self._async_end_leases(group, record, paused, stepped_down=True)
         assigned = await self._async_assign(group, record, succession)
         await self._async_promote(group, assigned)
 
@@ -339,6 +336,22 @@
         era = self._directory.store_copy.era
         return renew_record(record, era, statuses, len(group.primary_lease.members))
 
+    async def _async_end_leases(
+        self,
+        group: Group,
+        record: GroupRecord,
+        paused: Mapping[str, MemberStatus],
+        *,
+        stepped_down: bool,
+    ) -> None:
+        """Wait until no node can still use the previous primary; fail if one without the store may.
+
+        `paused` are the members that have answered PAUSE.
+        """
+        if not await self._async_wait_stopped(group, record, stepped_down=stepped_down):
+            paused = await self._async_check_pause(group, record, paused)
+        self._check_lapsed_members(group, record, paused)
+
     async def _async_wait_stopped(
         self, group: Group, record: GroupRecord, *, stepped_down: bool
     ) -> bool:
@@ -439,7 +452,7 @@
         return lasting
 
     def _check_lapsed_members(
-        self, group: Group, record: GroupRecord, paused: dict[str, MemberStatus]
+        self, group: Group, record: GroupRecord, paused: Mapping[str, MemberStatus]
     ) -> None:
         """Fail if a node without the store may see a majority of members that are not paused."""
         counted = group.find_counted_members()
--- a/tests/site/test_supervision.py
+++ b/tests/site/test_supervision.py
@@ -401,6 +401,35 @@
         assert error_of(answer) != "" or answer[0].startswith("COMPLETE c-")
 
 
+async def test_replicas_that_forget_their_pause_do_not_count_for_a_primary_that_leads_again() -> (
+    None
+):
+    """Guards against a write at a primary that stepped down and leads its old term again.
+
+    All members restart before the successor leads, and a node without the store never sees the
+    pause of the replicas.
+    """
+    async with async_deploy(gateways=3) as deployment:
+        await asyncio.sleep(1.0)
+        inside = find_other_node(deployment)
+        client = await deployment.async_connect("urgent", inside)
+        group = deployment.gateways[inside].directory.groups[SERVICE]
+        for task in deployment.gateways[inside]._tasks.tasks[:-1]:
+            task.cancel()
+        await deployment.async_wait_until(lambda: group.primary_lease.basis(now_ms()) == "reports")
+        deployment.store.promote_delay_s = 0.8
+        for name in "bc":
+            forget_first_pause(deployment.members[name])
+        deployment.register_member(deployment.members["a"], state="draining")
+        await deployment.async_wait_until(lambda: "STEPDOWN" in deployment.members["a"].controls)
+        deployment.members["a"].primary, deployment.members["a"].term = True, 1
+        await deployment.async_wait_until(
+            lambda: deployment.members["b"].primary or deployment.members["c"].primary, 12.0
+        )
+        answer = await client.async_query("WRITE ward v1")
+        assert error_of(answer) != "" or answer[-1].startswith("READY I 2.")
+
+
 async def test_members_that_lapsed_are_counted_until_no_node_can_count_them() -> None:
     """Guards against a promotion beside the primary of a majority that is cut off from the store.
 
