Never promote a member that may lack a commit of a synchronous group

Cause: A group with SyncReplicas waited 8 s for members that may have the only copy of an acknowledged commit, and counted members whose entries had lapsed for 10 s; then it went on without them. Change: No time ends the wait. The group record names the processes whose receipt may have acknowledged a commit; one is left out only when it is gone and another replica has what the primary had afterwards. While members are awaited, the record says so and all nodes refuse at once. A former primary that answers with its log leads again after 0.5 s. Tests: Two tests asserted that the group goes on after 8 s and states the loss, which was the fault; they now assert that it never does. The generated histories assert that no commit is lost. The event of a stated loss keeps a test, for services without SyncReplicas.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -226,9 +226,6 @@
 PROMOTION_POLL_MS: Final = 25
 PROMOTION_TIMEOUT_MS: Final = 4_000
 CATCH_UP_TIMEOUT_MS: Final = 500
-# A synchronous group waits this long without a primary for a member that may have the only copy of
-# an acknowledged commit.
-SUCCESSION_WAIT_MS: Final = 8_000
 PROMOTION_RETRY_MS: Final = 300
 # At most this many nodes are named in a log line.
 MAX_LOGGED_NODES: Final = 8
--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -254,6 +254,11 @@
         """Return whether the store lists the record of a group that this node knows."""
         return service not in self._unlisted_records
 
+    def is_synchronous(self, service: str) -> bool:
+        """Return whether each acknowledged commit of a service is in the log of some replica."""
+        limits = self.configuration.services.get(service)
+        return limits is not None and limits.synchronous
+
     def find_acknowledged_epoch(self, service: str) -> int:
         """Return the newest epoch of a group that a node has acknowledged in this era, or 0."""
         prefix, era = f"{ACKS_PREFIX}{service}/", self.store_copy.era
--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -14,6 +14,7 @@
     ReadOption,
     ReplicaLag,
     Requirement,
+    UnlistedProcesses,
     Watermarks,
 )
 from burdockrun_statements import Commit
@@ -94,6 +95,7 @@
         self._lease_basis = "none"
         # Members whose entries have lapsed, and until when they count as members.
         self._lapsed: dict[str, tuple[MemberEntry, int]] = {}
+        self.unlisted_processes = UnlistedProcesses()
         # Members whose processes have been replaced, and when.
         self._restarted_ms: dict[str, int] = {}
         # Since when no member is known to lead by the record.
@@ -120,6 +122,7 @@
         before = self.primary_lease.members
         self._note_lapsed(before, entries)
         now_ms = self._app.clock.now_ms()
+        self.unlisted_processes.note_members(before, entries, now_ms)
         self._unreadable_ms = {
             member_id: self._unreadable_ms.get(member_id, now_ms)
             for member_id, entry in entries.items()
@@ -198,6 +201,11 @@
             for member_id, at_ms in self._restarted_ms.items()
         )
 
+    def awaits_members(self) -> bool:
+        """Return whether no primary can be chosen until certain members have answered."""
+        record = self.primary_lease.record
+        return record is not None and not record.primary and bool(record.unheard)
+
     def vacant_for_ms(self) -> int:
         """Return for how long no member has been known to lead by the record."""
         return self._app.clock.now_ms() - self._vacant_ms if self._vacant_ms is not None else 0
--- a/libs/gateway/burdockrun_gateway/placement.py
+++ b/libs/gateway/burdockrun_gateway/placement.py
@@ -108,6 +108,8 @@
         if attempt.refusal is not None:
             return self._refuse(attempt, attempt.refusal.reason, None, attempt.refusal)
         group = attempt.group
+        if group.awaits_members() and not attempt.excluded:
+            return self._refuse(attempt, "no member is certain to have all commits")
         wait_ms = self._primary_wait_left_ms(attempt)
         may_wait = not group.has_homes() or group.is_replacing() or bool(attempt.excluded)
         if wait_ms <= 0 or not may_wait:
--- a/libs/gateway/burdockrun_gateway/records.py
+++ b/libs/gateway/burdockrun_gateway/records.py
@@ -8,7 +8,7 @@
 
 import msgspec
 from burdockrun_base import LogPosition, shorten_reason
-from burdockrun_groups import GroupRecord, NodeEntry, Suspicion
+from burdockrun_groups import GroupRecord, MemberProcess, NodeEntry, Suspicion
 from result import Err, Ok, Result
 
 from burdockrun_gateway.decoding import Count, Port, decode_json, is_host_address
@@ -35,6 +35,7 @@
     era: Count = 0
     continues: str = ""
     unheard: tuple[str, ...] = ()
+    acknowledging: tuple[tuple[str, Count], ...] = ()
 
 
 class _NodeFields(msgspec.Struct):
@@ -96,6 +97,7 @@
             "ending": record.ending,
             "continues": record.continues,
             "unheard": record.unheard,
+            "acknowledging": record.acknowledging,
             "floor": [record.floor.term, record.floor.index] if record.floor else None,
         }
     ).encode()
@@ -116,6 +118,7 @@
             floor=_build_position(fields.floor),
             continues=fields.continues,
             unheard=fields.unheard,
+            acknowledging=tuple(MemberProcess(*process) for process in fields.acknowledging),
         )
     )
 
--- a/libs/gateway/burdockrun_gateway/successors.py
+++ b/libs/gateway/burdockrun_gateway/successors.py
@@ -4,14 +4,19 @@
 from collections.abc import Mapping
 
 from burdockrun_base import Application, LogPosition
-from burdockrun_groups import GroupRecord, Succession, SuccessionEvidence, find_successor
+from burdockrun_groups import (
+    GroupRecord,
+    Succession,
+    SuccessionEvidence,
+    find_ended_processes,
+    find_successor,
+)
 from burdockrun_statements import MemberStatus, Statement, StatementKind
 
 from burdockrun_gateway.const import (
     CATCH_UP_TIMEOUT_MS,
     MAX_LOGGED_NODES,
     PROMOTION_POLL_MS,
-    SUCCESSION_WAIT_MS,
 )
 from burdockrun_gateway.directory import Directory
 from burdockrun_gateway.group import Group
@@ -21,6 +26,16 @@
     """A step of a change failed; the change is resumed from the group record."""
 
 
+class MembersAwaitedError(StepFailedError):
+    """No member is certain to have all acknowledged commits until others have answered."""
+
+    def __init__(self, awaited: frozenset[str]) -> None:
+        """`awaited` are the members that may have newer logs."""
+        names = " ".join(sorted(awaited)[:MAX_LOGGED_NODES])
+        super().__init__(f"no answer from members that may have newer logs: {names}")
+        self.awaited = awaited
+
+
 async def async_ask_members(
     group: Group, excluded: str, statement: Statement | None = None
 ) -> dict[str, MemberStatus]:
@@ -89,37 +104,31 @@
         """
         until_ms = self._app.clock.now_ms() + CATCH_UP_TIMEOUT_MS
         may_catch_up = final is not None
+        processes = [one for one in record.acknowledging if one.member_id != record.previous]
         while True:
             statuses = await async_ask_members(group, record.previous)
             is_last = self._app.clock.now_ms() >= until_ms
-            synchronous = self._is_synchronous(group)
+            members = group.primary_lease.members
+            ended = find_ended_processes(processes, members)
             succession = find_successor(
                 SuccessionEvidence(
-                    members=group.primary_lease.members,
-                    counted=group.find_counted_members(),
+                    members=members,
+                    counted=group.find_counted_members() | {one.member_id for one in processes},
                     previous=record.previous,
                     statuses=statuses,
                     paused=paused,
                     floor=record.floor,
                     final=final,
-                    has_lost_log=group.has_restarted_replica(record.previous),
-                    synchronous=synchronous,
+                    has_lost_log=bool(ended) or group.has_restarted_replica(record.previous),
+                    synchronous=self._directory.is_synchronous(group.service),
                     is_catching_up=may_catch_up and not is_last,
-                    is_overdue=(
-                        group.vacant_for_ms() >= SUCCESSION_WAIT_MS if synchronous else is_last
-                    ),
+                    is_overdue=is_last,
                 )
             )
             if succession.successor:
                 return succession
             if is_last:
-                awaited = " ".join(sorted(succession.awaited)[:MAX_LOGGED_NODES])
-                raise StepFailedError(f"no answer from members that may have newer logs: {awaited}")
+                raise MembersAwaitedError(succession.awaited)
             if final is None and record.previous in succession.awaited:
                 final = await _async_find_last_position(group, record.previous)
             await asyncio.sleep(PROMOTION_POLL_MS / 1000)
-
-    def _is_synchronous(self, group: Group) -> bool:
-        """Return whether each acknowledged commit is in the log of at least one replica."""
-        limits = self._directory.configuration.services.get(group.service)
-        return limits is not None and limits.synchronous
--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -25,6 +25,7 @@
 from burdockrun_statements import MemberStatus, Statement, StatementKind
 from result import Err, Ok
 
+from burdockrun_gateway.acknowledging import AcknowledgingSearch
 from burdockrun_gateway.check_failures import CheckFailures
 from burdockrun_gateway.const import (
     CHANGE_FAILED,
@@ -50,6 +51,7 @@
 from burdockrun_gateway.ports import PromotionClient, SharedStore, StoreFault, Write
 from burdockrun_gateway.records import dump_group
 from burdockrun_gateway.successors import (
+    MembersAwaitedError,
     StepFailedError,
     SuccessorSearch,
     async_ask_members,
@@ -75,6 +77,7 @@
         self._promotion_lease = promotion_lease
         self._promotion_client = promotion_client
         self._successor_search = SuccessorSearch(app, directory)
+        self._acknowledging = AcknowledgingSearch(app, directory)
         self._running: dict[str, asyncio.Task[None]] = {}
         # By service, when the members that this holder has paused may be resumed.
         self._resume_after_ms: dict[str, int] = {}
@@ -171,6 +174,8 @@
             self._run(group, partial(self._async_change, group, reason))
         elif is_leadership_denied(record, group.primary_lease.members):
             self._run(group, partial(self._async_verify_leadership, group))
+        elif record is not None and self._acknowledging.is_outdated(group, record):
+            self._run(group, partial(self._async_update_acknowledging, group, record))
         else:
             self._check_failures.note_success(group.service)
 
@@ -198,6 +203,16 @@
         if answered is not None and not answered.status.is_primary:
             await self._async_change(group, Reason.DEMOTED)
 
+    async def _async_update_acknowledging(self, group: Group, record: GroupRecord) -> None:
+        """Record whose receipt may have acknowledged commits, as far as that is known by now."""
+        processes = await self._acknowledging.async_find(group, record)
+        if processes == record.acknowledging or record != group.primary_lease.record:
+            return
+        try:
+            await self._async_write(group, replace(record, acknowledging=processes))
+        except StepFailedError as fault:
+            self._app.events.write(CHANGE_FAILED, service=group.service, step=str(fault))
+
     def close(self) -> None:
         """Cancel all changes; another holder resumes them."""
         for task in self._running.values():
@@ -236,6 +251,10 @@
         )
         try:
             await self._async_run_steps(group, reason)
+        except MembersAwaitedError as fault:
+            self._app.events.write(CHANGE_FAILED, service=group.service, step=str(fault))
+            await self._async_note_awaited(group, fault.awaited)
+            await asyncio.sleep(PROMOTION_RETRY_MS / 1000)
         except StepFailedError as fault:
             self._app.events.write(CHANGE_FAILED, service=group.service, step=str(fault))
             await asyncio.sleep(PROMOTION_RETRY_MS / 1000)
@@ -279,6 +298,18 @@
         assigned = await self._async_assign(group, record, succession)
         await self._async_promote(group, assigned)
 
+    async def _async_note_awaited(self, group: Group, awaited: frozenset[str]) -> None:
+        """Let all nodes know that a synchronous group has no primary until members answer."""
+        record = group.primary_lease.record
+        unheard = tuple(sorted(awaited))
+        is_vacant = record is not None and not record.primary
+        if record is None or not is_vacant or record.unheard == unheard:
+            return
+        try:
+            await self._async_write(group, replace(record, unheard=unheard))
+        except StepFailedError as fault:
+            self._app.events.write(CHANGE_FAILED, service=group.service, step=str(fault))
+
     async def _async_announce(self, group: Group, record: GroupRecord) -> GroupRecord:
         """Announce that the primary will be stopped, and wait until all nodes know it.
 
@@ -617,6 +648,7 @@
         held_term=held_term,
         promoted=False,
         floor=record.floor,
+        acknowledging=record.acknowledging,
     )
 
 
--- a/libs/groups/burdockrun_groups/__init__.py
+++ b/libs/groups/burdockrun_groups/__init__.py
@@ -1,6 +1,11 @@
 """Database groups: primary lease, log positions, choice of members, promotion."""
 
 from burdockrun_groups.accounts import Account, AccountTable
+from burdockrun_groups.acknowledging import (
+    UnlistedProcesses,
+    find_ended_processes,
+    find_processes,
+)
 from burdockrun_groups.const import (
     KNOWN_MEMBERS_MS,
     MIN_PAUSE_MS,
@@ -15,6 +20,7 @@
     Freshness,
     GroupRecord,
     MemberEntry,
+    MemberProcess,
     NodeEntry,
     Route,
     ServiceLimits,
@@ -61,6 +67,7 @@
     "LagSample",
     "MemberEntry",
     "MemberLoad",
+    "MemberProcess",
     "NodeEntry",
     "PrimaryLease",
     "ReadChoice",
@@ -75,12 +82,15 @@
     "Succession",
     "SuccessionEvidence",
     "Suspicion",
+    "UnlistedProcesses",
     "Watermarks",
     "choose_by_load",
     "choose_member",
     "choose_successor",
     "find_change_reason",
+    "find_ended_processes",
     "find_first_primary",
+    "find_processes",
     "find_reported_primary",
     "find_successor",
     "is_leadership_denied",
--- a/libs/groups/burdockrun_groups/models.py
+++ b/libs/groups/burdockrun_groups/models.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 from burdockrun_base import LogPosition
 from burdockrun_statements import MemberStatus
@@ -85,6 +86,13 @@
         return (self.started_at_ms, self.sequence) < (other.started_at_ms, other.sequence)
 
 
+class MemberProcess(NamedTuple):
+    """Process of a member; one that starts again under the same id is another process."""
+
+    member_id: str
+    started_at_ms: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StatusReport:
     """Status that a member has told in answer to a statement sent at `sent_ms`.
@@ -108,9 +116,11 @@
     `promoted` says that the primary is known to lead, `ending` that it will be stopped soon.
     `floor` is the position that the primary had received when it was chosen; a member may become
     primary before it has applied that much. While no primary is named, it is that of `previous`.
-    `unheard` are the members that may have had newer acknowledged commits, but had not answered in
-    time when the primary was chosen. `continues` identifies the leadership that the record
-    of an earlier era named, if it has gone on without a break.
+    `unheard` are the members that may have newer acknowledged commits and have not answered: while
+    no primary is named, none can be chosen until they do, else it was chosen without them.
+    `continues` identifies the leadership that the record of an earlier era named, if it has gone on
+    without a break. `acknowledging` are the processes of a synchronous group by whose receipt
+    commits may have been acknowledged that no other replica has.
     """
 
     service: str
@@ -124,6 +134,7 @@
     floor: LogPosition | None = None
     continues: str = ""
     unheard: tuple[str, ...] = ()
+    acknowledging: tuple[MemberProcess, ...] = ()
 
     def leadership(self) -> str:
         """Return what identifies the leadership of the primary."""
--- a/libs/groups/burdockrun_groups/promotion.py
+++ b/libs/groups/burdockrun_groups/promotion.py
@@ -105,6 +105,7 @@
         held_term=status.term,
         floor=status.received,
         continues=record.leadership() if goes_on else "",
+        acknowledging=record.acknowledging,
     )
 
 
--- a/libs/groups/burdockrun_groups/succession.py
+++ b/libs/groups/burdockrun_groups/succession.py
@@ -14,7 +14,8 @@
 class SuccessionEvidence:
     """What is known of the logs of a group that has no primary.
 
-    `members` are listed by discovery, `counted` also has those whose entries have lapsed lately.
+    `members` are listed by discovery, `counted` also has those whose entries have lapsed and that
+    may have the only copy of a commit.
     `statuses` were asked for after the last commit was acknowledged, `paused` before that.
     `floor` is what the previous primary had received when it was chosen, `final` its whole log if
     it has answered that it does not lead. `has_lost_log` says that a replica has started again
@@ -22,7 +23,8 @@
 
     In a `synchronous` group at least one replica had received each commit when it was acknowledged.
     `is_catching_up` says that replicas may still receive the log of the previous primary, and
-    `is_overdue` that the time to wait for members has run out.
+    `is_overdue` that the time to wait for members has run out, after which only a synchronous group
+    waits on.
     """
 
     members: Mapping[str, MemberEntry]
@@ -43,7 +45,7 @@
     """Next primary with the position that it has received, or no member yet.
 
     `awaited` are the members that may have acknowledged commits which no candidate has. If there is
-    a `successor` all the same, those commits may be lost.
+    a `successor` all the same, in a group that is not synchronous, those commits may be lost.
     """
 
     successor: str = ""
@@ -57,10 +59,9 @@
     The previous primary takes over again if it has answered and no other member is certain to have
     all commits in time.
     """
-    statuses = evidence.statuses or (evidence.paused if evidence.is_overdue else {})
-    final = evidence.final
-    if final is not None and not final.has_reached(evidence.floor):
-        final = None  # the previous primary has lost its log
+    may_use_paused = evidence.is_overdue and not evidence.synchronous
+    statuses = evidence.statuses or (evidence.paused if may_use_paused else {})
+    final = None if _has_previous_lost_log(evidence) else evidence.final
     best = choose_successor(statuses, evidence.members, evidence.previous)
     received = statuses[best].received if best else None
     if received is not None and final is not None and received.has_reached(final):
@@ -70,6 +71,8 @@
         return Succession(awaited=awaited)
     if awaited and final is not None and (evidence.synchronous or not best):
         return Succession(successor=evidence.previous, received=final)
+    if awaited and evidence.synchronous:
+        return Succession(awaited=awaited)
     return Succession(successor=best, received=received, awaited=awaited)
 
 
@@ -77,17 +80,23 @@
     evidence: SuccessionEvidence, best: str, received: LogPosition | None
 ) -> frozenset[str]:
     """Return the members that may have acknowledged commits which `best` has not received."""
+    unknown = {evidence.previous} if not _has_previous_lost_log(evidence) else set()
     if received is None:
-        return frozenset(evidence.counted) | {evidence.previous}
+        return frozenset(evidence.counted) | unknown
     known = {**evidence.paused, **evidence.statuses}
     awaited = {member_id for member_id, status in known.items() if status.received > received}
     if evidence.synchronous:
         awaited.update(set(evidence.counted) - {evidence.previous, *evidence.statuses})
         if _may_be_unknown_to_replicas(evidence, received):
-            awaited.add(evidence.previous)
+            awaited.update(unknown)
     return frozenset(awaited - {best})
 
 
+def _has_previous_lost_log(evidence: SuccessionEvidence) -> bool:
+    """Return whether the previous primary answers without the log that it had when chosen."""
+    return evidence.final is not None and not evidence.final.has_reached(evidence.floor)
+
+
 def _may_be_unknown_to_replicas(evidence: SuccessionEvidence, received: LogPosition) -> bool:
     """Return whether the previous primary may be the only member with an acknowledged commit.
 
--- a/tests/groups/test_succession.py
+++ b/tests/groups/test_succession.py
@@ -146,8 +146,8 @@
 
 @settings(derandomize=True, max_examples=800, deadline=None)
 @given(st.lists(TERMS, min_size=1, max_size=3))
-def test_a_successor_has_every_acknowledged_commit_or_the_loss_is_stated(terms: list[Term]) -> None:
-    """Guards against a commit that is lost, and not stated, whatever answers are missing."""
+def test_a_successor_has_every_acknowledged_commit(terms: list[Term]) -> None:
+    """Guards against a commit that is lost, whatever answers are missing and for how long."""
     group = SimulatedGroup()
     for term in terms:
         for receivers in term.receivers:
@@ -157,13 +157,10 @@
         succession, evidence = find_after(group, term)
         if not succession.successor:
             assert succession.awaited
-            assert not evidence.is_overdue or not (evidence.statuses or evidence.paused)
+            assert not evidence.is_overdue or evidence.final is None
             return
-        lost = group.acknowledged - set(group.logs[succession.successor])
-        if lost:
-            assert evidence.is_overdue and evidence.final is None
-            holders = {name for name in NAMES if lost & set(group.logs[name])}
-            assert succession.awaited and (not holders or holders & succession.awaited)
+        assert group.acknowledged <= set(group.logs[succession.successor])
+        assert not succession.awaited
         group.promote(succession.successor, succession.received)
 
 
@@ -195,9 +192,9 @@
 def test_a_member_whose_entry_has_lapsed_is_waited_for() -> None:
     """Guards against the loss of commits that only a member has which is cut off from the store."""
     evidence = build_evidence({"b": 11, "c": 12}, counted=set("abcd"))
-    assert find_successor(evidence).awaited == {"d"}
-    late = find_successor(replace(evidence, is_overdue=True))
-    assert (late.successor, late.awaited) == ("c", frozenset("d"))
+    for is_overdue in (False, True):
+        succession = find_successor(replace(evidence, is_overdue=is_overdue))
+        assert succession == Succession(awaited=frozenset("d"))
 
 
 @pytest.mark.parametrize(
@@ -216,9 +213,9 @@
     Also guards against the loss of those that a replica has lost with its log.
     """
     evidence = build_evidence({"b": 11, "c": 12}, **fields)
-    assert find_successor(evidence).awaited == {"a"}
-    late = find_successor(replace(evidence, is_overdue=True))
-    assert (late.successor, late.awaited) == ("c", frozenset("a"))
+    for is_overdue in (False, True):
+        succession = find_successor(replace(evidence, is_overdue=is_overdue))
+        assert succession == Succession(awaited=frozenset("a"))
     returned = replace(evidence, final=LogPosition(term=1, index=13), is_overdue=True)
     assert find_successor(returned).successor == "a"
 
@@ -230,12 +227,18 @@
     assert find_successor(evidence) == Succession(successor="a", received=final)
 
 
-def test_a_previous_primary_that_has_lost_its_log_proves_nothing() -> None:
-    """Guards against a comparison with the log of a primary that has started again without it."""
+def test_a_previous_primary_that_has_lost_its_log_proves_nothing_and_is_not_waited_for() -> None:
+    """Guards against a comparison with the log of a primary that has started again without it.
+
+    Also guards against a wait that nobody can end.
+    """
     floor, final = LogPosition(term=1, index=13), LogPosition(term=1, index=0)
-    evidence = build_evidence({"b": 11, "c": 12}, floor=floor, final=final)
-    assert find_successor(evidence).awaited == frozenset("a")
-    assert find_successor(replace(evidence, is_overdue=True)).successor == "c"
+    evidence = build_evidence({"c": 12}, floor=floor, final=final)
+    for is_overdue in (False, True):
+        succession = find_successor(replace(evidence, is_overdue=is_overdue))
+        assert succession == Succession(awaited=frozenset("b"))
+    answered = build_evidence({"b": 11, "c": 12}, floor=floor, final=final)
+    assert find_successor(answered).successor == "c"
 
 
 def test_a_planned_change_without_the_last_entries_goes_on_if_they_were_not_acknowledged() -> None:
--- a/tests/site/test_succession.py
+++ b/tests/site/test_succession.py
@@ -1,6 +1,8 @@
 """Tests of the choice of the next primary where answers of members are missing."""
 
 import asyncio
+import time
+from dataclasses import replace
 from unittest.mock import patch
 
 import pytest
@@ -10,13 +12,10 @@
 from tests.site.common import SERVICE, Client, Deployment, async_deploy, error_of, read_events
 from tests.site.members import FakeMember
 
-WAIT_MS = "burdockrun_gateway.successors.SUCCESSION_WAIT_MS"
-LONG_MS = 60_000
 
-
-async def async_write_past(deployment: Deployment, behind: str) -> Client:
-    """Acknowledge a commit of a synchronous service that the member `behind` has not received."""
-    deployment.configure(9, synchronous=1)
+async def async_write_past(deployment: Deployment, behind: str, *, synchronous: int = 1) -> Client:
+    """Acknowledge a commit that the member `behind` has not received."""
+    deployment.configure(9, synchronous=synchronous)
     directory = deployment.gateways[0].directory
     await deployment.async_wait_until(lambda: directory.configuration.version == 9)
     client = await deployment.async_connect("urgent")
@@ -65,6 +64,17 @@
     await deployment.async_wait_until(is_awaited)
 
 
+async def async_wait_until_recorded(deployment: Deployment, names: str) -> None:
+    """Wait until the group record names just these members as acknowledging."""
+    lease = deployment.gateways[0].directory.groups[SERVICE].primary_lease
+
+    def is_recorded() -> bool:
+        record = lease.record
+        return record is not None and {one.member_id for one in record.acknowledging} == set(names)
+
+    await deployment.async_wait_until(is_recorded)
+
+
 def find_ordered(deployment: Deployment) -> list[str]:
     """Return the members that were ordered to lead."""
     return [member for _, member, _ in deployment.store.promotions]
@@ -83,25 +93,113 @@
         assert find_ordered(deployment) == ["c"]
 
 
-async def test_a_member_that_stays_silent_is_passed_over_in_the_end_and_the_loss_is_stated(
+async def test_a_loss_is_stated_where_a_member_with_newer_commits_is_passed_over(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
-    """Guards against a loss that nobody is told of, and against a group that never goes on."""
+    """Guards against a loss that nobody is told of, in a service that is not synchronous."""
     async with async_deploy(gateways=1) as deployment:
-        await async_write_past(deployment, "b")
+        await async_write_past(deployment, "b", synchronous=0)
         refuse_status(deployment.members["c"])
-        with patch(WAIT_MS, LONG_MS):
-            await deployment.members["a"].async_stop()
-            await async_wait_until_awaited(deployment, caplog, "c")
-        assert find_ordered(deployment) == []
-        with patch(WAIT_MS, 0):
-            await deployment.async_wait_until(lambda: deployment.members["b"].primary)
+        await deployment.members["a"].async_stop()
+        await deployment.async_wait_until(lambda: deployment.members["b"].primary)
         item = deployment.store.entries[GROUPS_PREFIX + SERVICE]
         assert load_group(SERVICE, item.value).unwrap().unheard == ("c",)
     (loss,) = read_events(caplog, COMMITS_MAY_BE_LOST.number)
     assert (loss["member"], loss["received"], loss["unheard"]) == ("b", "1.1", "c")
 
 
+async def test_a_member_that_may_have_the_only_copy_of_a_commit_is_never_passed_over(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against an acknowledged commit that is given up since its members were away for long.
+
+    The primary and the replica with the commit stay away until both entries have lapsed and nobody
+    counts them any more. Callers are refused at once meanwhile.
+    """
+    with patch("burdockrun_gateway.group.KNOWN_MEMBERS_MS", 1_000):
+        async with async_deploy(gateways=1) as deployment:
+            members, group = deployment.members, deployment.gateways[0].directory.groups[SERVICE]
+            client = await async_write_past(deployment, "b")
+            await async_wait_until_recorded(deployment, "abc")
+            for name in "ac":
+                await members[name].async_stop()
+                deployment.store.remove(f"servers/{name}")
+            await async_wait_until_awaited(deployment, caplog, "c")
+            await deployment.async_wait_until(group.awaits_members)
+            await asyncio.sleep(10.0)
+            started = time.monotonic()
+            assert error_of(await client.async_query("WRITE ward v3")) == "BUSY"
+            assert time.monotonic() - started < 0.1
+            assert find_ordered(deployment) == []
+            await members["c"].async_start()
+            deployment.register_member(members["c"])
+            await deployment.async_query_until_done(client, "WRITE ward v4")
+            assert find_ordered(deployment) == ["c"]
+            assert [commit.items["ward"] for commit in members["c"].log] == ["v1", "v2", "v4"]
+
+
+async def test_a_replica_that_is_gone_is_not_waited_for_once_another_one_has_all_commits() -> None:
+    """Guards against a group that never has a primary again after two members are lost in turn."""
+    with patch("burdockrun_groups.acknowledging.KNOWN_MEMBERS_MS", 1_000):
+        async with async_deploy(gateways=1) as deployment:
+            members, _group = deployment.members, deployment.gateways[0].directory.groups[SERVICE]
+            client = await async_write_past(deployment, "c")
+            await async_wait_until_recorded(deployment, "abc")
+            await members["c"].async_stop()
+            deployment.store.remove("servers/c")
+            await async_wait_until_recorded(deployment, "ab")
+            await members["a"].async_stop()
+            deployment.store.remove("servers/a")
+            await deployment.async_query_until_done(client, "WRITE ward v3")
+            assert find_ordered(deployment) == ["b"]
+
+
+async def test_a_replica_that_is_gone_is_waited_for_while_no_other_one_has_all_commits(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against the loss of a commit whose only replica counts as gone."""
+    with (
+        patch("burdockrun_groups.acknowledging.KNOWN_MEMBERS_MS", 500),
+        patch("burdockrun_gateway.group.KNOWN_MEMBERS_MS", 500),
+    ):
+        async with async_deploy(gateways=1) as deployment:
+            members, _group = deployment.members, deployment.gateways[0].directory.groups[SERVICE]
+            client = await async_write_past(deployment, "b")
+            await async_wait_until_recorded(deployment, "abc")
+            await members["c"].async_stop()
+            deployment.store.remove("servers/c")
+            await asyncio.sleep(3.0)
+            await members["a"].async_stop()
+            await async_wait_until_awaited(deployment, caplog, "c")
+            await members["a"].async_start()
+            await deployment.async_query_until_done(client, "WRITE ward v3")
+            assert set(find_ordered(deployment)) == {"a"}
+            assert members["a"].item("ward") == "v3"
+
+
+async def test_the_primary_is_waited_for_when_a_replica_has_restarted_without_its_log(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against the loss of a commit whose only replica has lost it, however long ago."""
+    with patch("burdockrun_gateway.group.KNOWN_MEMBERS_MS", 500):
+        async with async_deploy(gateways=1) as deployment:
+            members, group = deployment.members, deployment.gateways[0].directory.groups[SERVICE]
+            client = await async_write_past(deployment, "b")
+            await async_wait_until_recorded(deployment, "abc")
+            await members["c"].async_restart_without_log()
+            members["c"].has_log, members["c"].log = True, list(members["b"].log)
+            entry = replace(group.primary_lease.members["c"], started_at_ms=9)
+            with patch.object(group, "set_members"):
+                group.primary_lease.set_members({**group.primary_lease.members, "c": entry})
+                await asyncio.sleep(2.0)
+                await members["a"].async_stop()
+                await async_wait_until_awaited(deployment, caplog, "a")
+                await members["a"].async_start()
+                await deployment.async_query_until_done(client, "WRITE ward v3")
+            assert set(find_ordered(deployment)) == {"a"}
+            assert members["a"].item("ward") == "v3"
+
+
 async def test_a_replica_whose_entry_has_lapsed_is_waited_for(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
@@ -111,8 +209,7 @@
         directory = deployment.gateways[0].directory
         deployment.store.remove("servers/c")
         await deployment.async_wait_until(lambda: "c" not in directory.groups[SERVICE].pools)
-        no_others = patch.object(directory, "may_be_without_store", return_value=False)
-        with patch(WAIT_MS, LONG_MS), no_others:
+        with patch.object(directory, "may_be_without_store", return_value=False):
             await deployment.members["a"].async_stop()
             await async_wait_until_awaited(deployment, caplog, "c")
             deployment.register_member(deployment.members["c"])
@@ -135,13 +232,11 @@
         deployment.register_member(members["a"], state="draining")
         await deployment.async_wait_until(lambda: group.pools["a"].entry.draining)
         deployment.store.remove("servers/a")
-        with patch(WAIT_MS, LONG_MS):
-            await members["c"].async_stop()
-            await async_wait_until_awaited(deployment, caplog, "c")
-            await members["c"].async_start()
-            await deployment.async_wait_until(lambda: "STEPDOWN" in members["c"].controls)
-        with patch(WAIT_MS, 0):
-            await deployment.async_query_until_done(client, "WRITE beds v1")
+        await members["c"].async_stop()
+        await async_wait_until_awaited(deployment, caplog, "c")
+        await members["c"].async_start()
+        await deployment.async_wait_until(lambda: "STEPDOWN" in members["c"].controls)
+        await deployment.async_query_until_done(client, "WRITE beds v1")
         assert set(find_ordered(deployment)) == {"c"}
         assert members["c"].item("ward") == "v2"
 
@@ -151,14 +246,13 @@
 
     The replica that has the commit refuses to tell its position.
     """
-    with patch(WAIT_MS, 0):
-        async with async_deploy(gateways=1) as deployment:
-            client = await async_write_past(deployment, "b")
-            refuse_status(deployment.members["c"])
-            deployment.register_member(deployment.members["a"], state="draining")
-            await deployment.async_wait_until(lambda: bool(deployment.store.promotions))
-            await deployment.async_query_until_done(client, "WRITE beds v1")
-        assert find_ordered(deployment)[0] == "a"
+    async with async_deploy(gateways=1) as deployment:
+        client = await async_write_past(deployment, "b")
+        refuse_status(deployment.members["c"])
+        deployment.register_member(deployment.members["a"], state="draining")
+        await deployment.async_wait_until(lambda: bool(deployment.store.promotions))
+        await deployment.async_query_until_done(client, "WRITE beds v1")
+    assert find_ordered(deployment)[0] == "a"
 
 
 async def test_a_planned_change_keeps_all_acknowledged_writes_though_a_replica_is_busy() -> None:
