Read a successor only once it leads, unless it has every commit

Cause: From the record that names a successor on, all nodes read it as the primary, and took its positions for what reads on other routes require. Callers did not see a write that had been acknowledged, and saw it again a second later. Change: The record says whether the successor is certain to have every acknowledged commit: the whole log of a primary that was stopped, or a synchronous group. Otherwise it is read once it is known to lead, and the positions of the previous primary go on to count until then. Writes and BEGIN go there as before, since a member that does not lead refuses them. The new tests failed with the condition taken out (2 of 2), and the one for planned changes with it always on; they pass. A test of the choice compared a whole result and now names the new field too.

--- a/libs/gateway/burdockrun_gateway/attempts.py
+++ b/libs/gateway/burdockrun_gateway/attempts.py
@@ -48,6 +48,13 @@
         """Return whether the statement changes data."""
         return is_write(self.statement, self.shape)
 
+    @property
+    def proves_primary(self) -> bool:
+        """Return whether a member that does not lead refuses the statement."""
+        if self.begin is not None:
+            return not self.begin.read_only
+        return self.writes or self.in_transaction
+
     @property
     def is_in_doubt(self) -> bool:
         """Return whether the statement may have changed data for good."""
--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -308,6 +308,18 @@
         pool = self._leader_pool()
         return pool if pool is not None and self.may_use(pool) else None
 
+    def readable_primary_pool(self) -> MemberPool | None:
+        """Return the connections to the primary if it is known to have all acknowledged commits."""
+        return self.primary_pool() if self._may_read_primary() else None
+
+    def _may_read_primary(self) -> bool:
+        """Return whether the primary leads as far as this node knows, or need not lead yet."""
+        now_ms = self._app.clock.now_ms()
+        if self.primary_lease.may_read(now_ms):
+            return True
+        epoch = self.primary_lease.epoch(now_ms)
+        return epoch != "" and epoch == self.watermarks.epoch
+
     def may_use(self, pool: MemberPool) -> bool:
         """Return whether a member may get new statements by its entry.
 
@@ -387,6 +399,7 @@
     ) -> Iterator[ReadOption]:
         """Return the members that can serve reads now; with `rank_share`, with their loads."""
         primary = self.primary_lease.primary(self._app.clock.now_ms())
+        may_read_primary = self._may_read_primary()
         for member_id, pool in self.pools.items():
             if member_id in excluded or not pool.is_usable():
                 continue
@@ -395,7 +408,9 @@
             lag = self._lags.get(member_id)
             yield ReadOption(
                 member_id=member_id,
-                is_primary=member_id == primary and self.awaited_position(pool) is None,
+                is_primary=member_id == primary
+                and may_read_primary
+                and self.awaited_position(pool) is None,
                 position=pool.position,
                 expected_ms=pool.expected_ms(),
                 keeps_up=pool.keeps_up(),
@@ -612,13 +627,30 @@
             self._note_restarted(pool.entry.id)
             return
         now_ms = self._app.clock.now_ms()
-        floor = self.primary_lease.floor(pool.entry.id)
-        if self.primary_lease.primary(now_ms) == pool.entry.id and position.has_reached(floor):
+        is_primary = self.primary_lease.primary(now_ms) == pool.entry.id
+        if is_primary and self._tells_commits(pool.entry.id, position):
+            may_read = self._may_read_primary()
             self.watermarks.add(self.primary_lease.epoch(now_ms), sent_ms, position)
+            if not may_read:
+                self.changed.notify()
         elif pool.has_homes:
             lag = self._lags.setdefault(pool.entry.id, ReplicaLag())
             lag.observe(self.watermarks.find_lag(position, now_ms))
 
+    def _tells_commits(self, primary: str, position: LogPosition) -> bool:
+        """Return whether a position of the primary shows what the group has committed.
+
+        Before a primary leads, it may lack commits of the previous one. It leads once it has
+        written in its own term.
+        """
+        record, floor = self.primary_lease.record, self.primary_lease.floor(primary)
+        if not position.has_reached(floor):
+            return False
+        if self._may_read_primary():
+            return True
+        own_term = max(record.held_term, floor.term + 1) if record and floor else None
+        return own_term is not None and position.term >= own_term
+
 
 def _has(applied: LogPosition | None, required: LogPosition) -> bool:
     return applied is not None and applied.has_reached(required)
--- a/libs/gateway/burdockrun_gateway/placement.py
+++ b/libs/gateway/burdockrun_gateway/placement.py
@@ -88,7 +88,7 @@
             if link.lost:
                 continue
             # While the statement waited, another member may have become the primary.
-            has_moved = attempt.to_primary and not attempt.group.is_primary(pool)
+            has_moved = attempt.to_primary and pool is not _find_primary(attempt)
             if has_moved or not attempt.group.may_use(pool):
                 pool.release(link)
                 continue
@@ -258,7 +258,7 @@
     def _choose(self, attempt: Attempt) -> _Choice | None:
         group = attempt.group
         if attempt.to_primary:
-            pool = group.primary_pool()
+            pool = _find_primary(attempt)
             return _Choice(pool) if pool is not None and _may_send(pool) else None
         if group.has_homes():
             return self._choose_by_load(attempt)
@@ -288,7 +288,7 @@
         pool = group.pools.get(choice.option.member_id) if choice is not None else None
         if choice is None or pool is None:
             # The primary may be reached again as soon as a connection to its home is open.
-            pool = group.primary_pool()
+            pool = group.readable_primary_pool()
             is_allowed = pool is not None and pool.entry.id not in attempt.excluded
             return _Choice(pool) if pool is not None and is_allowed and _may_send(pool) else None
         self._kept = pool.entry.id
@@ -328,6 +328,13 @@
         await attempt.group.changed.async_wait(min(wait_ms, PRIMARY_WAIT_STEP_MS))
 
 
+def _find_primary(attempt: Attempt) -> MemberPool | None:
+    """Return the primary if it may get the statement, though it may not lead yet."""
+    if attempt.proves_primary:
+        return attempt.group.primary_pool()
+    return attempt.group.readable_primary_pool()
+
+
 def _may_send(pool: MemberPool) -> bool:
     """Return whether statements may be sent to the primary, if need be through its next home."""
     return not pool.is_lost() or pool.is_changing_homes()
--- a/libs/gateway/burdockrun_gateway/records.py
+++ b/libs/gateway/burdockrun_gateway/records.py
@@ -34,6 +34,7 @@
     floor: tuple[Count, Count] | None
     era: Count = 0
     continues: str = ""
+    complete: bool = False
     unheard: tuple[str, ...] = ()
     acknowledging: tuple[tuple[str, Count], ...] = ()
 
@@ -94,6 +95,7 @@
             "previous": record.previous,
             "held_term": record.held_term,
             "promoted": record.promoted,
+            "complete": record.complete,
             "ending": record.ending,
             "continues": record.continues,
             "unheard": record.unheard,
@@ -114,6 +116,7 @@
             previous=fields.previous,
             held_term=fields.held_term,
             promoted=fields.promoted,
+            complete=fields.complete,
             ending=fields.ending,
             floor=_build_position(fields.floor),
             continues=fields.continues,
--- a/libs/gateway/burdockrun_gateway/route_explanation.py
+++ b/libs/gateway/burdockrun_gateway/route_explanation.py
@@ -151,6 +151,8 @@
             return [(False, "it is the primary, but its entry cannot be read")]
         if pool.is_lost():
             return [(False, "it is the primary, but does not answer")]
+        if not self._attempt.writes and self._group.readable_primary_pool() is not pool:
+            return [(False, "it is to be the primary, but is not known to lead yet")]
         return [(True, f"it is the primary; {only}")]
 
     def _weigh_read(self, pool: MemberPool) -> list[tuple[bool, str]]:
--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -508,6 +508,7 @@
                 primary=succession.successor,
                 epoch=record.epoch + 1,
                 floor=succession.received,
+                complete=succession.complete,
                 unheard=unheard,
             ),
         )
@@ -593,6 +594,8 @@
         while self._app.clock.now_ms() < resume_ms:
             if not self._directory.find_unacknowledged(vacant):
                 break
+            if not record.complete:
+                record = await self._async_write(group, replace(record, complete=True))
             await asyncio.sleep(PROMOTION_POLL_MS / 1000)
         others = [pool for member_id, pool in group.pools.items() if member_id != record.primary]
         await asyncio.gather(
--- a/libs/groups/burdockrun_groups/models.py
+++ b/libs/groups/burdockrun_groups/models.py
@@ -114,6 +114,8 @@
     the store's may lack later changes; it entitles nobody to use its primary. `previous` is the
     primary before the change, `held_term` the term for which the replicas are paused during it.
     `promoted` says that the primary is known to lead, `ending` that it will be stopped soon.
+    `complete` says that the primary may be read although it may not lead yet: it has every
+    acknowledged commit, or leads while the change is not over.
     `floor` is the position that the primary had received when it was chosen; a member may become
     primary before it has applied that much. While no primary is named, it is that of `previous`.
     `unheard` are the members that may have newer acknowledged commits and have not answered: while
@@ -130,6 +132,7 @@
     previous: str = ""
     held_term: int = 0
     promoted: bool = True
+    complete: bool = False
     ending: bool = False
     floor: LogPosition | None = None
     continues: str = ""
--- a/libs/groups/burdockrun_groups/primary_lease.py
+++ b/libs/groups/burdockrun_groups/primary_lease.py
@@ -131,6 +131,17 @@
             return "record"
         return "reports" if self._primary_by_reports(now_ms) else "none"
 
+    def may_read(self, now_ms: int) -> bool:
+        """Return whether the primary may be read: it leads, or has every acknowledged commit.
+
+        One that is only named may never lead, and then the previous primary, whose last commits it
+        may lack, leads again.
+        """
+        record = self.record
+        if record is None or not self.has_record_lease(now_ms):
+            return bool(self._primary_by_reports(now_ms))
+        return bool(record.primary) and (record.promoted or record.complete)
+
     def floor(self, member_id: str) -> LogPosition | None:
         """Return the position that a member must apply before reads use it as the primary."""
         record = self.record
--- a/libs/groups/burdockrun_groups/succession.py
+++ b/libs/groups/burdockrun_groups/succession.py
@@ -46,10 +46,12 @@
 
     `awaited` are the members that may have acknowledged commits which no candidate has. If there is
     a `successor` all the same, in a group that is not synchronous, those commits may be lost.
+    `complete` says that the successor is certain to have every acknowledged commit.
     """
 
     successor: str = ""
     received: LogPosition | None = None
+    complete: bool = False
     awaited: frozenset[str] = frozenset()
 
 
@@ -65,15 +67,17 @@
     best = choose_successor(statuses, evidence.members, evidence.previous)
     received = statuses[best].received if best else None
     if received is not None and final is not None and received.has_reached(final):
-        return Succession(successor=best, received=received)
+        return Succession(successor=best, received=received, complete=True)
     awaited = _find_awaited(evidence, best, received)
     if evidence.is_catching_up or (awaited and not evidence.is_overdue):
         return Succession(awaited=awaited)
     if awaited and final is not None and (evidence.synchronous or not best):
-        return Succession(successor=evidence.previous, received=final)
+        return Succession(successor=evidence.previous, received=final, complete=True)
     if awaited and evidence.synchronous:
         return Succession(awaited=awaited)
-    return Succession(successor=best, received=received, awaited=awaited)
+    return Succession(
+        successor=best, received=received, complete=evidence.synchronous, awaited=awaited
+    )
 
 
 def _find_awaited(
--- a/tests/groups/test_primary_lease.py
+++ b/tests/groups/test_primary_lease.py
@@ -1,5 +1,7 @@
 """Tests of the lease under which a node uses a primary."""
 
+from dataclasses import replace
+
 import pytest
 from burdockrun_groups import KNOWN_MEMBERS_MS, MIN_PAUSE_MS, PRIMARY_LEASE_MS, PrimaryLease
 from burdockrun_statements import MemberStatus
@@ -40,6 +42,29 @@
     assert primary_lease.primary(1_200) == ""
 
 
+def test_a_primary_is_read_once_it_leads_or_has_every_commit(primary_lease: PrimaryLease) -> None:
+    """Guards against reads at a successor that lacks commits and never leads."""
+    assert primary_lease.may_read(1_100)
+    named = build_record("b", 3, promoted=False, previous="a", held_term=2)
+    primary_lease.confirm_record(named, 1_100)
+    assert (primary_lease.primary(1_200), primary_lease.may_read(1_200)) == ("b", False)
+    primary_lease.confirm_record(replace(named, complete=True), 1_200)
+    assert primary_lease.may_read(1_300)
+    primary_lease.confirm_record(replace(named, promoted=True), 1_300)
+    assert primary_lease.may_read(1_400)
+
+
+def test_reports_of_a_leader_allow_reads_of_it(primary_lease: PrimaryLease) -> None:
+    """Guards against reads that wait for the store although the members say who leads."""
+    named = build_record("b", 3, promoted=False, previous="a", held_term=2)
+    primary_lease.confirm_record(named, 1_100)
+    add_report(primary_lease, "b", build_status(2, primary=True), 10_000)
+    add_report(primary_lease, "c", build_status(2), 10_000)
+    assert primary_lease.primary(10_000) == "b"
+    assert primary_lease.may_read(10_000)
+    assert not primary_lease.may_read(10_000 + PRIMARY_LEASE_MS)
+
+
 def test_an_older_record_does_not_replace_a_newer_one(primary_lease: PrimaryLease) -> None:
     """Guards against answers that arrive out of order."""
     primary_lease.confirm_record(build_record("b", 3), 1_100)
--- a/tests/groups/test_succession.py
+++ b/tests/groups/test_succession.py
@@ -224,7 +224,7 @@
     """Guards against a loss that is accepted although a member with the whole log answers."""
     final = LogPosition(term=1, index=13)
     evidence = build_evidence({"b": 11}, final=final, is_overdue=True)
-    assert find_successor(evidence) == Succession(successor="a", received=final)
+    assert find_successor(evidence) == Succession(successor="a", received=final, complete=True)
 
 
 def test_a_previous_primary_that_has_lost_its_log_proves_nothing_and_is_not_waited_for() -> None:
@@ -241,6 +241,16 @@
     assert find_successor(answered).successor == "c"
 
 
+def test_only_a_successor_that_is_certain_to_have_all_commits_is_complete() -> None:
+    """Guards against reads at a successor that may lack commits and may never lead."""
+    final, statuses = LogPosition(term=1, index=12), {"b": 11, "c": 12}
+    assert find_successor(build_evidence(statuses)).complete
+    assert find_successor(build_evidence(statuses, synchronous=False, final=final)).complete
+    assert not find_successor(build_evidence(statuses, synchronous=False)).complete
+    newer = replace(final, index=13)
+    assert not find_successor(build_evidence(statuses, synchronous=False, final=newer)).complete
+
+
 def test_a_planned_change_without_the_last_entries_goes_on_if_they_were_not_acknowledged() -> None:
     """Guards against a group that waits for entries which no replica will ever receive."""
     evidence = build_evidence(
--- a/tests/site/test_succession.py
+++ b/tests/site/test_succession.py
@@ -292,3 +292,47 @@
             and (record.primary, record.promoted) == ("c", True)
         )
     assert set(find_ordered(deployment)) == {"c"}
+
+
+@pytest.mark.parametrize("database", ["urgent", "visits"])
+async def test_a_successor_that_may_lack_commits_is_not_read_before_it_leads(database: str) -> None:
+    """Guards against reads without acknowledged commits that the previous primary still has.
+
+    The successor never leads, and the previous primary is back with the commits.
+    """
+    async with async_deploy(gateways=1) as deployment:
+        members = deployment.members
+        client = await deployment.async_connect(database)
+        assert error_of(await client.async_query("WRITE ward v1")) == ""
+        for name in "bc":
+            members[name].held_term = 1
+        assert error_of(await client.async_query("WRITE ward v2")) == ""
+        for name in "bc":
+            members[name].held_term = 0
+        deployment.store.promote_delay_s = 60.0
+        deployment.store.remove("servers/a")
+        await deployment.async_wait_until(lambda: bool(deployment.store.promotions))
+        until = time.monotonic() + 1.5
+        while time.monotonic() < until:
+            answer = await client.async_query("READ ward")
+            assert error_of(answer) == "BUSY" or answer[0] == "ROW v2"
+        deployment.store.promote_delay_s = 0.0
+        (successor,) = set(find_ordered(deployment))
+        deployment.store.not_running.add(successor)
+        deployment.store.remove(f"servers/{successor}")
+        await members[successor].async_stop()
+        deployment.register_member(members["a"])
+        answer = await deployment.async_query_until_done(client, "READ ward")
+        assert answer[0] == "ROW v2"
+
+
+async def test_a_successor_that_has_every_commit_is_read_before_it_leads() -> None:
+    """Guards against a planned change that interrupts reads until the successor leads."""
+    async with async_deploy(gateways=1) as deployment:
+        client = await deployment.async_connect("urgent")
+        assert error_of(await client.async_query("WRITE ward v1")) == ""
+        deployment.store.promote_delay_s = 3.0
+        deployment.register_member(deployment.members["a"], state="draining")
+        await deployment.async_wait_until(lambda: bool(deployment.store.promotions))
+        assert (await client.async_query("READ ward"))[0] == "ROW v1"
+        assert not any(member.primary for member in deployment.members.values())
