Check the member of a read again once it has a connection

Cause: A read that was placed at the primary, since no recent position was known, waited for a connection there. Change: Such a read runs only if a position is required by now or the member is still the primary.

--- a/libs/gateway/burdockrun_gateway/placement.py
+++ b/libs/gateway/burdockrun_gateway/placement.py
@@ -88,12 +88,24 @@
             if link.lost:
                 continue
             # While the statement waited, another member may have become the primary.
-            has_moved = attempt.to_primary and pool is not _find_primary(attempt)
-            if has_moved or not attempt.group.may_use(pool):
+            if not self._may_still_run(attempt, pool):
                 pool.release(link)
                 continue
             return pool, link
 
+    def _may_still_run(self, attempt: Attempt, pool: MemberPool) -> bool:
+        """Return whether a member may still run the statement for which it was chosen.
+
+        Without a required position, a read is current at the primary only.
+        """
+        if not attempt.group.may_use(pool):
+            return False
+        if attempt.to_primary:
+            return pool is _find_primary(attempt)
+        if self._find_requirement(attempt) is not None:
+            return True
+        return pool is attempt.group.readable_primary_pool()
+
     async def _async_wait_for_member(
         self, attempt: Attempt, choice: _Choice | None
     ) -> Answer | None:
--- a/tests/site/test_succession.py
+++ b/tests/site/test_succession.py
@@ -7,7 +7,11 @@
 
 import pytest
 from burdockrun_gateway.const import CHANGE_FAILED, COMMITS_MAY_BE_LOST, GROUPS_PREFIX
+from burdockrun_gateway.links import MemberLink
+from burdockrun_gateway.ports import AcquireFault, RequestPriority
 from burdockrun_gateway.records import load_group
+from burdockrun_statements import SessionState
+from result import Result
 
 from tests.site.common import SERVICE, Client, Deployment, async_deploy, error_of, read_events
 from tests.site.members import FakeMember
@@ -336,3 +340,25 @@
         await deployment.async_wait_until(lambda: bool(deployment.store.promotions))
         assert (await client.async_query("READ ward"))[0] == "ROW v1"
         assert not any(member.primary for member in deployment.members.values())
+
+
+async def test_a_read_that_waited_for_a_connection_does_not_run_at_a_replaced_primary() -> None:
+    """Guards against a stale read at a member that stopped leading while the read was queued."""
+    async with async_deploy(gateways=1) as deployment:
+        group = deployment.gateways[0].directory.groups[SERVICE]
+        client = await deployment.async_connect("visits")
+        pool, record = group.pools["a"], group.primary_lease.record
+        assert record is not None
+        acquire = pool.async_acquire
+
+        async def async_acquire_late(
+            priority: RequestPriority, session: SessionState | None
+        ) -> Result[MemberLink, AcquireFault]:
+            acquired = await acquire(priority, session)
+            group.set_record(replace(record, primary="b", epoch=record.epoch + 2))
+            return acquired
+
+        group.watermarks.samples.clear()
+        with patch.object(pool, "async_acquire", async_acquire_late):
+            await client.async_query("READ ward")
+        assert client.last_id not in [one.request_id for one in deployment.members["a"].executed]
