Announce the end of a primary once, whoever holds the promotion lease

Cause: Each holder of the promotion lease wrote the announcement again and waited 1.6 s for all nodes to read it. With holders that stop at shorter intervals nobody got beyond it, and a draining primary got statements for longer than DrainMs (rule DRAIN, review/9). Change: An announcement in the record is not repeated; a new holder waits for what is left since this node learned of it.

--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -98,6 +98,8 @@
         self.unlisted_processes = UnlistedProcesses()
         # Members whose processes have been replaced, and when.
         self._restarted_ms: dict[str, int] = {}
+        # Since when the record says that the primary will be stopped.
+        self._ending_ms: int | None = None
         # Since when no member is known to lead by the record.
         self._vacant_ms: int | None = None
         self._knows_lapsed_ms = app.clock.now_ms() + KNOWN_MEMBERS_MS
@@ -206,6 +208,10 @@
         record = self.primary_lease.record
         return record is not None and not record.primary and bool(record.unheard)
 
+    def ending_for_ms(self) -> int:
+        """Return for how long this node has known that the primary will be stopped."""
+        return self._app.clock.now_ms() - self._ending_ms if self._ending_ms is not None else 0
+
     def vacant_for_ms(self) -> int:
         """Return for how long no member has been known to lead by the record."""
         return self._app.clock.now_ms() - self._vacant_ms if self._vacant_ms is not None else 0
@@ -254,6 +260,10 @@
         if not self.primary_lease.learn_record(record):
             return
         self.evidence_changed = True
+        if not record.ending:
+            self._ending_ms = None
+        elif self._ending_ms is None or known is None or known.version() != record.version():
+            self._ending_ms = self._app.clock.now_ms()
         if record.primary and record.promoted:
             self._vacant_ms = None
         elif self._vacant_ms is None:
--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -313,11 +313,14 @@
     async def _async_announce(self, group: Group, record: GroupRecord) -> GroupRecord:
         """Announce that the primary will be stopped, and wait until all nodes know it.
 
-        They use it meanwhile, but no longer send a BEGIN and a read in one write.
+        They use it meanwhile, and will not discard what is unanswered there. An earlier holder may
+        have announced it; the wait starts when this node learned of that.
         """
-        announced = await self._async_write(group, replace(record, ending=True))
-        await asyncio.sleep((PRIMARY_LEASE_MS + PRIMARY_LEASE_MARGIN_MS) / 1000)
-        return announced
+        if not record.ending:
+            record = await self._async_write(group, replace(record, ending=True))
+        known_ms = PRIMARY_LEASE_MS + PRIMARY_LEASE_MARGIN_MS
+        await asyncio.sleep(max(0, known_ms - group.ending_for_ms()) / 1000)
+        return record
 
     async def _async_adopt(self, group: Group) -> None:
         """Write the first record, with the only member that claims to be the primary."""
--- a/tests/site/test_supervision.py
+++ b/tests/site/test_supervision.py
@@ -1,6 +1,7 @@
 """Tests of the work of the holder of the promotion lease."""
 
 import asyncio
+import time
 from dataclasses import replace
 from unittest.mock import AsyncMock, patch
 
@@ -609,3 +610,29 @@
         answer = await client.async_query("WRITE ward v1")
         # By the reports of the members the node may know the next primary, whose term is 2.
         assert error_of(answer) != "" or answer[-1].startswith("READY I 2.")
+
+
+async def test_a_new_holder_does_not_announce_the_end_of_a_primary_again() -> None:
+    """Guards against a draining primary that stays in use while the holders change.
+
+    Each holder hands over before the time has passed in which all nodes learn of the announcement.
+    """
+    async with async_deploy(gateways=3) as deployment:
+        await asyncio.sleep(1.0)
+        group = deployment.gateways[0].directory.groups[SERVICE]
+        deployment.register_member(deployment.members["a"], state="draining")
+
+        def is_ending() -> bool:
+            record = group.primary_lease.record
+            return record is not None and record.ending
+
+        await deployment.async_wait_until(is_ending)
+        announced = time.monotonic()
+        for _ in range(2):
+            await asyncio.sleep(1.0)
+            holder = deployment.store.entries["burdockrun/duty"].value.decode()
+            gateway = deployment.gateways[int(holder.removeprefix("node-")) - 1]
+            await gateway._promotion_lease.async_yield()
+        await deployment.async_wait_until(lambda: not is_ending())
+        # One wait for the announcement, and what is left of a poll after the second hand-over.
+        assert time.monotonic() - announced < 3.0
