Do not choose a successor that ends before it could be replaced

Cause: The successor is the member with the newest log. One that drains is replaced soon after, which takes about 3 s; nobody looked whether it has that long. Callers' statements ran at a member beyond DrainMs after its entry (rule DRAIN), which then left as the primary; a former primary led again and had commits that reads in between lacked (STALE). Change: A draining member with too little time left is chosen only if there is no other, or if the group is synchronous and it may have the only copy of a commit.

--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -31,6 +31,7 @@
     PEER_SUSPICION_SILENCE_MS,
     PRIMARY_LEARNED,
     PROBE_INTERVAL_MS,
+    REPLACEMENT_MS,
     REPORT_INTERVAL_MS,
     SHARED_POSITION_REFRESH_MS,
     SILENCE_MS,
@@ -77,6 +78,7 @@
         `rng` randomizes retry times and the choice of members. `limits` counts the operations of
         accounts at homes. `member_drain_ms` is how long members go on after announcing their end.
         """
+        self._member_drain_ms = member_drain_ms
         self._unreadable_primary_ms = int(UNREADABLE_PRIMARY_SHARE * member_drain_ms)
         self.service = service
         self.rng = rng or Random(f"{service} {domain}")
@@ -103,6 +105,8 @@
         # Since when no member is known to lead by the record.
         self._vacant_ms: int | None = None
         self._knows_lapsed_ms = app.clock.now_ms() + KNOWN_MEMBERS_MS
+        # Since when members announce their end.
+        self._draining_ms: dict[str, int] = {}
         # Since when the entries of members cannot be read.
         self._unreadable_ms: dict[str, int] = {}
         self._end_announced = False
@@ -125,6 +129,11 @@
         self._note_lapsed(before, entries)
         now_ms = self._app.clock.now_ms()
         self.unlisted_processes.note_members(before, entries, now_ms)
+        self._draining_ms = {
+            member_id: self._draining_ms.get(member_id, now_ms)
+            for member_id, entry in entries.items()
+            if entry.draining
+        }
         self._unreadable_ms = {
             member_id: self._unreadable_ms.get(member_id, now_ms)
             for member_id, entry in entries.items()
@@ -177,6 +186,17 @@
         }
         return {*members, *self._lapsed}
 
+    def find_ending_members(self) -> set[str]:
+        """Return the draining members that would end before they could be replaced as primary."""
+        if not self._member_drain_ms:
+            return set()
+        until_ms = self._app.clock.now_ms() + REPLACEMENT_MS
+        return {
+            member_id
+            for member_id, since_ms in self._draining_ms.items()
+            if since_ms + self._member_drain_ms < until_ms
+        }
+
     def knows_members_of(self, primary: str) -> bool:
         """Return whether this node knows all members that some node may still count with `primary`.
 
--- a/libs/gateway/burdockrun_gateway/successors.py
+++ b/libs/gateway/burdockrun_gateway/successors.py
@@ -117,6 +117,7 @@
                     previous=record.previous,
                     statuses=statuses,
                     paused=paused,
+                    ending=group.find_ending_members(),
                     floor=record.floor,
                     final=final,
                     has_lost_log=bool(ended) or group.has_restarted_replica(record.previous),
--- a/libs/groups/burdockrun_groups/promotion.py
+++ b/libs/groups/burdockrun_groups/promotion.py
@@ -126,20 +126,25 @@
 
 
 def choose_successor(
-    statuses: Mapping[str, MemberStatus], members: Mapping[str, MemberEntry], avoid: str
+    statuses: Mapping[str, MemberStatus],
+    members: Mapping[str, MemberEntry],
+    avoid: str,
+    ending: Collection[str] = (),
 ) -> str:
     """Return the member with the newest received position; among equals, one that will stay.
 
     `statuses` has the members that answered; `avoid` is never chosen, nor a member that still leads
     an earlier term: it would take writes in that term until it is promoted. Returns an empty string
     when no other member answered. A draining member that has received more is chosen although it is
-    replaced soon, with its whole log: another one would lose the writes that only it has.
+    replaced soon, with its whole log: another one would lose the writes that only it has. Members
+    that are `ending` have too little time left for that, and are chosen only if there is no other.
     """
     candidates = [
         member_id
         for member_id, status in statuses.items()
         if member_id != avoid and not status.is_primary
     ]
+    candidates = [one for one in candidates if one not in ending] or candidates
     if not candidates:
         return ""
 
--- a/libs/groups/burdockrun_groups/succession.py
+++ b/libs/groups/burdockrun_groups/succession.py
@@ -17,6 +17,7 @@
     `members` are listed by discovery, `counted` also has those whose entries have lapsed and that
     may have the only copy of a commit.
     `statuses` were asked for after the last commit was acknowledged, `paused` before that.
+    `ending` are draining members that will end before another one could take over from them.
     `floor` is what the previous primary had received when it was chosen, `final` its whole log if
     it has answered that it does not lead. `has_lost_log` says that a replica has started again
     lately and may have lost commits that it had received.
@@ -32,6 +33,7 @@
     previous: str
     statuses: Mapping[str, MemberStatus]
     paused: Mapping[str, MemberStatus]
+    ending: Collection[str] = ()
     floor: LogPosition | None = None
     final: LogPosition | None = None
     has_lost_log: bool = False
@@ -64,7 +66,9 @@
     may_use_paused = evidence.is_overdue and not evidence.synchronous
     statuses = evidence.statuses or (evidence.paused if may_use_paused else {})
     final = None if _has_previous_lost_log(evidence) else evidence.final
-    best = choose_successor(statuses, evidence.members, evidence.previous)
+    # Where replicas acknowledge commits, one that is ending may have the only copy.
+    ending = () if evidence.synchronous else evidence.ending
+    best = choose_successor(statuses, evidence.members, evidence.previous, ending)
     received = statuses[best].received if best else None
     if received is not None and final is not None and received.has_reached(final):
         return Succession(successor=best, received=received, complete=True)
--- a/tests/groups/test_promotion.py
+++ b/tests/groups/test_promotion.py
@@ -89,6 +89,9 @@
         == "b"
     )
     assert choose_successor({"c": build_status()}, members, "a") == "c"
+    assert choose_successor({"c": build_status()}, members, "a", {"c"}) == "c"
+    statuses = {"b": build_status(index=11), "c": build_status(index=12)}
+    assert choose_successor(statuses, members, "a", {"c"}) == "b"
     assert choose_successor({}, members, "a") == ""
 
 
--- a/tests/groups/test_succession.py
+++ b/tests/groups/test_succession.py
@@ -260,6 +260,14 @@
     assert find_successor(replace(evidence, is_catching_up=False)).successor == "c"
 
 
+def test_a_member_that_ends_soon_takes_over_only_where_it_may_have_the_only_copy() -> None:
+    """Guards against a successor that is used beyond its end, and against commits lost with it."""
+    statuses = {"b": 11, "c": 12}
+    other = build_evidence(statuses, synchronous=False, ending={"c"})
+    assert find_successor(replace(other, is_overdue=True)).successor == "b"
+    assert find_successor(build_evidence(statuses, ending={"c"})).successor == "c"
+
+
 def test_another_service_waits_shortly_for_a_member_known_to_have_more() -> None:
     """Guards against lost commits for want of one answer, and against waits for silent members."""
     paused = {"b": build_status(index=11), "c": build_status(index=12)}
--- a/tests/site/test_succession.py
+++ b/tests/site/test_succession.py
@@ -362,3 +362,19 @@
         with patch.object(pool, "async_acquire", async_acquire_late):
             await client.async_query("READ ward")
         assert client.last_id not in [one.request_id for one in deployment.members["a"].executed]
+
+
+async def test_a_member_that_ends_soon_does_not_take_over() -> None:
+    """Guards against statements at a member beyond the time for which it drains.
+
+    It has received more than the other replica, and would still be the primary at its end.
+    """
+    async with async_deploy(gateways=1, member_drain_ms=3_500) as deployment:
+        await async_write_past(deployment, "b", synchronous=0)
+        deployment.register_member(deployment.members["c"], state="draining")
+        group = deployment.gateways[0].directory.groups[SERVICE]
+        await deployment.async_wait_until(lambda: group.pools["c"].entry.draining)
+        await asyncio.sleep(0.6)
+        await deployment.members["a"].async_stop()
+        await deployment.async_wait_until(lambda: bool(deployment.store.promotions))
+        assert find_ordered(deployment) == ["b"]
