--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -227,8 +227,8 @@
 PROMOTION_POLL_MS: Final = 25
 PROMOTION_TIMEOUT_MS: Final = 4_000
 CATCH_UP_TIMEOUT_MS: Final = 500
-# From the choice of a draining member until nobody uses it any more: its own promotion, for which the
-# platform takes some hundred ms, the announcement of its end, and a search for its successor.
+# From the choice of a draining member until nobody uses it any more: its own promotion, for which
+# the platform takes some hundred ms, the announcement of its end, and a search for its successor.
 REPLACEMENT_MS: Final = 1_000 + PRIMARY_LEASE_MS + PRIMARY_LEASE_MARGIN_MS + CATCH_UP_TIMEOUT_MS
 PROMOTION_RETRY_MS: Final = 300
 # At most this many nodes are named in a log line.
