Show that an operator lets a group go on without lost members

A group that waits for members with possible commits stays without a primary until one of them returns or a ticket sets SyncReplicas 0.

The test loses both members that may have a commit, waits until the refusal is logged, and submits the ticket.

--- a/tests/site/test_succession.py
+++ b/tests/site/test_succession.py
@@ -6,6 +6,7 @@
 from unittest.mock import patch
 
 import pytest
+from burdockrun_base import LogPosition
 from burdockrun_gateway.const import CHANGE_FAILED, COMMITS_MAY_BE_LOST, GROUPS_PREFIX
 from burdockrun_gateway.links import MemberLink
 from burdockrun_gateway.ports import AcquireFault, RequestPriority
@@ -142,6 +143,25 @@
             assert [commit.items["ward"] for commit in members["c"].log] == ["v1", "v2", "v4"]
 
 
+async def test_an_operator_lets_a_group_go_on_without_the_members_that_it_awaits(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a group that nobody can give a primary when its last commits are lost."""
+    with patch("burdockrun_gateway.group.KNOWN_MEMBERS_MS", 1_000):
+        async with async_deploy(gateways=1) as deployment:
+            client = await async_write_past(deployment, "b")
+            await async_wait_until_recorded(deployment, "abc")
+            for name in "ac":
+                await deployment.members[name].async_stop()
+                deployment.store.remove(f"servers/{name}")
+            await async_wait_until_awaited(deployment, caplog, "c")
+            deployment.configure(10, synchronous=0)
+            await deployment.async_query_until_done(client, "WRITE ward v3")
+            record = deployment.gateways[0].directory.groups[SERVICE].primary_lease.record
+            assert record is not None
+            assert (record.primary, record.floor) == ("b", LogPosition(term=1, index=1))
+
+
 async def test_a_replica_that_is_gone_is_not_waited_for_once_another_one_has_all_commits() -> None:
     """Guards against a group that never has a primary again after two members are lost in turn."""
     with patch("burdockrun_groups.acknowledging.KNOWN_MEMBERS_MS", 1_000):
