Cut primaries off from their replicas in the fault soak

Promotions now take up to 1 s, and a new fault cuts the primary off from the store and its replicas, while the nodes still reach it; the successor may crash before it leads. A write that waits for a replica is answered only once that replica has this very entry, and not after it is lost.

--- a/script/fault_soak/deployment.py
+++ b/script/fault_soak/deployment.py
@@ -18,6 +18,8 @@
 START_S = 30.0
 POLL_S = 0.002
 LATE_S = 0.1
+# How long the platform may take until an ordered member leads.
+PROMOTION_S = (0.02, 0.3, 1.0)
 
 
 async def async_wait_until(condition: Callable[[], bool], limit_s: float = START_S) -> None:
@@ -47,6 +49,7 @@
     async def async_start(self) -> None:
         """Start all parts and wait until the gateways are ready."""
         await self.store.async_start()
+        self.store.promote_delay_s = random.choice(PROMOTION_S)
         self.configure()
         for index in range(3):
             await self.add_member(primary=index == 0).async_start()
--- a/script/fault_soak/faults.py
+++ b/script/fault_soak/faults.py
@@ -14,6 +14,7 @@
 
 from script.fault_soak.deployment import Deployment, async_wait_until
 from script.fault_soak.journal import Drained
+from script.fault_soak.members import BEAT_S, FOLLOW_S, LAPSE_S
 from script.fault_soak.processes import METRICS_PORT, GatewayProcess
 
 FaultFunction = Callable[[Deployment, Random], Coroutine[Any, Any, None]]
@@ -309,6 +310,36 @@
         await asyncio.sleep(1.0)
 
 
+@fault("primary_cut", 3, planned=False)
+async def cut_primary(deployment: Deployment, rng: Random) -> None:
+    """Cut the primary off from the store and the replicas; its successor may crash before it leads.
+
+    The nodes still reach the primary.
+    """
+    lapse_s, away_s = LAPSE_S - rng.uniform(0.0, BEAT_S), rng.uniform(0.3, 3.0)
+    crash_s = rng.random() * deployment.store.promote_delay_s
+    crashes = rng.random() < 0.7
+    async with take(deployment, "members") as free:
+        primary = deployment.find_primary()
+        if not free or not primary.running:
+            return
+        promotions = deployment.store.promotions
+        ordered = len(promotions)
+        primary.cut = True
+        await asyncio.sleep(lapse_s)
+        primary.lapse()
+        await async_wait_until(lambda: len(promotions) > ordered, rng.uniform(0.0, 6.0))
+        successor = deployment.members[promotions[-1][1]] if len(promotions) > ordered else None
+        if crashes and successor is not None and successor is not primary:
+            await asyncio.sleep(crash_s)
+            await successor.async_crash()
+            await asyncio.sleep(away_s)
+            primary.heal()
+            await successor.async_restart(keeps_log=True)
+        primary.heal()
+        await asyncio.sleep(FOLLOW_S)
+
+
 @fault("answers_lost", 2, planned=False)
 async def lose_answers(deployment: Deployment, rng: Random) -> None:
     """Let members lose answers to statements that they have run."""
--- a/script/fault_soak/members.py
+++ b/script/fault_soak/members.py
@@ -27,6 +27,8 @@
         self.running = False
         self.draining = False
         self.deaf = False
+        # Without a path to the store and to the other members.
+        self.cut = False
         self.lost_answers = 0
         self.work_s = 0.009
         self.lag_s = 0.02
@@ -53,7 +55,7 @@
             self._beats.cancel()
         self._break_open()
         await self.async_stop()
-        asyncio.get_running_loop().call_later(LAPSE_S, self._lapse, self._born_ms)
+        asyncio.get_running_loop().call_later(LAPSE_S, self.lapse, self._born_ms)
 
     async def async_restart(self, *, keeps_log: bool) -> None:
         """Start again under the same id; a replica without a log receives it anew."""
@@ -63,12 +65,26 @@
             self.log, self.term = [], 1
         self.held_term = 0
         primary = self._find_primary()
-        if primary is not None:
+        if primary is not None and primary.term > self.term:
             self.primary = False
         await self.async_start()
-        if primary is not None:
+        if self.primary:
+            self._call_followers()
+        elif primary is not None:
             self._later(5 * self.lag_s, self.follow, primary)
 
+    def heal(self) -> None:
+        """End a cut of this primary; it follows a newer one after a while."""
+        self.cut = False
+        if not self.running:
+            return
+        self.register()
+        primary = self._find_primary()
+        if primary is not None and primary.term > self.term:
+            self._later(FOLLOW_S, self.follow, primary)
+        for peer in self.group:
+            peer.catch_up()
+
     def fall_silent(self) -> None:
         """Answer nothing from now on."""
         self.silent = True
@@ -80,11 +96,16 @@
                 arrival.broken = True
 
     def _find_primary(self) -> "SoakMember | None":
-        leading = [one for one in self.group if one.primary and one.running and one is not self]
+        leading = [
+            one
+            for one in self.group
+            if one.primary and one.running and not one.cut and one is not self
+        ]
         return max(leading, key=lambda one: one.term, default=None)
 
-    def _lapse(self, born_ms: int) -> None:
-        if not self.running and self._born_ms == born_ms:
+    def lapse(self, born_ms: int | None = None) -> None:
+        """Remove the entry; with `born_ms` only that of a process which has ended."""
+        if born_ms is None or (not self.running and self._born_ms == born_ms):
             self._store.remove(f"servers/{self.id}")
 
     async def _async_beat(self) -> None:
@@ -109,7 +130,7 @@
 
     def register(self) -> None:
         """Write the entry of this member, unless the store is away."""
-        if self.running and not self._store.down:
+        if self.running and not self.cut and not self._store.down:
             self._sequence += 1
             self._store.put(f"servers/{self.id}", self.build_entry())
 
@@ -125,6 +146,9 @@
         lead = Lead(member=self.id, term=self.term, at_s=self._journal.now(), kept=kept)
         self._journal.leads.append(lead)
         self.register()
+        self._call_followers()
+
+    def _call_followers(self) -> None:
         for peer in self.group:
             if peer is not self:
                 self._later(FOLLOW_S if peer.primary else peer.lag_s, peer.follow, self)
@@ -133,7 +157,7 @@
         """Take over the log of a primary of a newer term."""
         if not self.running or not primary.running or not primary.primary:
             return
-        if primary.term < self.term:
+        if self.cut or primary.cut or primary.term < self.term:
             return
         was_primary, self.primary = self.primary, False
         self.log, self.term, self.held_term = list(primary.log), primary.term, 0
@@ -144,7 +168,7 @@
         """Receive the log of a primary up to a size; what it had sent arrives after STEPDOWN."""
         if not self.running or not primary.running or self.primary or self.deaf:
             return
-        if self.held_term or self.term > term:
+        if primary.cut or self.held_term or self.term > term:
             return
         if self.term != term:
             self.log, self.term = [], term
@@ -215,11 +239,12 @@
                 return False
             size = len(self.log)
             answer = self._execute(session, request_id, text)
+        is_received = True
         if self._journal.sync_replicas and len(self.log) > size:
-            await self._async_wait_received(len(self.log))
+            is_received = await self._async_wait_received(len(self.log))
         await self._async_wait_heard()
-        if self.lost_answers > 0:
-            self.lost_answers -= 1
+        if self.lost_answers > 0 or not is_received:
+            self.lost_answers = max(0, self.lost_answers - 1)
             arrival.broken = True
             writer.transport.abort()
             return False
@@ -227,11 +252,18 @@
         arrival.done_s = self._journal.now()
         return True
 
-    async def _async_wait_received(self, size: int) -> None:
-        while self.running and self.primary:
-            if any(len(one.log) >= size for one in self.group if one is not self and one.running):
-                return
+    async def _async_wait_received(self, size: int) -> bool:
+        """Wait until another member has the last of `size` entries; False if this one loses it."""
+        last = self.log[size - 1]
+        while self.running and last in self.log[size - 1 : size]:
+            if any(
+                last in one.log[size - 1 : size]
+                for one in self.group
+                if one.running and one is not self
+            ):
+                return True
             await asyncio.sleep(0.005)
+        return False
 
     def _write(self, writer: asyncio.StreamWriter, session: Session, answer: list[str]) -> None:
         ready = f"READY {session.state} {self.position()}"
