Let sessions read their commits at a successor that is not confirmed yet

Cause: since positions of a successor count as those of the primary only once its term is the expected one or the record says that it leads. Until then a commit that it had acknowledged was taken for one of an earlier primary, which is at or below the first position known of the present one; here that was the first position of the primary before.

Change: an acknowledged write proves that its member leads, so its position counts from then on. Reads that wait for the primary go on sooner, too.

--- a/libs/gateway/burdockrun_gateway/client_session.py
+++ b/libs/gateway/burdockrun_gateway/client_session.py
@@ -371,9 +371,9 @@
         if not group.is_primary(pool) or epoch != attempt.epoch:
             return self._local_answers.leave_in_doubt(attempt, IDLE)
         if answer.position is not None:
-            now_ms = self._app.clock.now_ms()
+            group.note_commit(pool.entry.id, epoch, attempt.started_ms, answer.position)
             self._session.commit = Commit(
-                position=answer.position, epoch=group.primary_lease.epoch(now_ms), at_ms=now_ms
+                position=answer.position, epoch=epoch, at_ms=self._app.clock.now_ms()
             )
         return replace(answer, state=IDLE)
 
--- a/libs/gateway/burdockrun_gateway/group.py
+++ b/libs/gateway/burdockrun_gateway/group.py
@@ -659,14 +659,26 @@
         now_ms = self._app.clock.now_ms()
         is_primary = self.primary_lease.primary(now_ms) == pool.entry.id
         if is_primary and self._tells_commits(pool.entry.id, position):
-            may_read = self._may_read_primary()
-            self.watermarks.add(self.primary_lease.epoch(now_ms), sent_ms, position)
-            if not may_read:
-                self.changed.notify()
+            self._add_watermark(self.primary_lease.epoch(now_ms), sent_ms, position)
         elif pool.has_homes:
             lag = self._lags.setdefault(pool.entry.id, ReplicaLag())
             lag.observe(self.watermarks.find_lag(position, now_ms))
 
+    def note_commit(self, primary: str, epoch: str, sent_ms: int, position: LogPosition) -> None:
+        """Learn the position of a commit that the primary of `epoch` has answered.
+
+        The answer proves that it leads, which its position alone may not: the record names a term
+        above its own if an earlier successor never led.
+        """
+        if position.has_reached(self.primary_lease.floor(primary)):
+            self._add_watermark(epoch, sent_ms, position)
+
+    def _add_watermark(self, epoch: str, sent_ms: int, position: LogPosition) -> None:
+        may_read = self._may_read_primary()
+        self.watermarks.add(epoch, sent_ms, position)
+        if not may_read:
+            self.changed.notify()
+
     def _tells_commits(self, primary: str, position: LogPosition) -> bool:
         """Return whether a position of the primary shows what the group has committed.
 
--- a/tests/site/test_succession.py
+++ b/tests/site/test_succession.py
@@ -14,7 +14,15 @@
 from burdockrun_statements import SessionState
 from result import Result
 
-from tests.site.common import SERVICE, Client, Deployment, async_deploy, error_of, read_events
+from tests.site.common import (
+    SERVICE,
+    Client,
+    Deployment,
+    async_deploy,
+    error_of,
+    read_events,
+    rows_of,
+)
 from tests.site.members import FakeMember
 
 
@@ -362,6 +370,32 @@
         assert not any(member.primary for member in deployment.members.values())
 
 
+async def test_a_session_reads_its_write_at_a_successor_whose_term_is_below_the_one_expected() -> (
+    None
+):
+    """Guards against a session read at a replica that lacks the commit of that session.
+
+    The other replica has all that the previous primary had, and the new one serves no reads.
+    """
+    async with async_deploy(gateways=1) as deployment:
+        members = deployment.members
+        client = await deployment.async_connect("visits")
+        assert error_of(await client.async_query("WRITE ward v1")) == ""
+        for name in "bc":
+            members[name].term, members[name].peers = 5, []
+        deployment.store.promote_delay_s = 0.3
+        await members["a"].async_stop()
+        await deployment.async_wait_until(lambda: bool(deployment.store.promotions))
+        successor = members[find_ordered(deployment)[0]]
+        successor.term = 1
+        refuse_status(successor)
+        await deployment.async_wait_until(lambda: successor.primary)
+        await deployment.async_query_until_done(client, "WRITE ward v2")
+        assert (await client.async_query("READ ward"))[0] == "ROW v2"
+        successor.refuse_all["READ"] = "BUSY"
+        assert rows_of(await client.async_query("READ ward")) == []
+
+
 async def test_a_read_that_waited_for_a_connection_does_not_run_at_a_replaced_primary() -> None:
     """Guards against a stale read at a member that stopped leading while the read was queued."""
     async with async_deploy(gateways=1) as deployment:
