Log when a node is registered and when it finds its registration lost

Change: events 1381 and 1382; 1361 has the time that the call had, 1326 how many nodes had to acknowledge.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -540,3 +540,12 @@
     Level.WARNING,
     "A member has lost the log that it had; what was known of its earlier process is forgotten.",
 )
+REGISTERED = define_event(
+    1381, "gateway_registered", Level.INFO, "The shared store has the registration of this node."
+)
+REGISTRATION_LOST = define_event(
+    1382,
+    "gateway_registration_lost",
+    Level.WARNING,
+    "The registration of this node has ended or was changed, though the node goes on.",
+)
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -398,7 +398,9 @@
             pass
         except Exception as fault:  # the drain has to go on
             error = repr(fault)
-        self._app.events.write(DRAIN_CALL_FAILED, call=name, error=error)
+        self._app.events.write(
+            DRAIN_CALL_FAILED, call=name, error=error, allowed_ms=round(max(left_ms, 0))
+        )
 
     async def _async_finish_sessions(
         self, started_ms: int, calls: list["asyncio.Task[None]"]
--- a/libs/gateway/burdockrun_gateway/leases.py
+++ b/libs/gateway/burdockrun_gateway/leases.py
@@ -27,6 +27,8 @@
     PROMOTION_LEASE_TAKEN,
     PROMOTION_LEASE_YIELD_MS,
     PROMOTION_POLL_MS,
+    REGISTERED,
+    REGISTRATION_LOST,
     REGISTRATION_WAIT_MS,
     RELEASE_TRIES,
     STORE_RETRY_MAX_MS,
@@ -169,12 +171,24 @@
             if not await self._async_register():
                 await asyncio.sleep(STORE_RETRY_MAX_MS / 1000)
                 continue
+            self._app.events.write(REGISTERED, revision=self._key.revision, era=self._key.era)
             # Primary leases start with the first answer of the store that has the registration.
             self._directory.store_copy.poll_now()
-            await self._async_stay_registered()
+            reason = await self._async_stay_registered()
+            if not self._released:
+                self._note_lost(reason)
 
-    async def _async_stay_registered(self) -> None:
-        """Renew the lease until it has ended or the key is lost.
+    def _note_lost(self, reason: str) -> None:
+        self._app.events.write(
+            REGISTRATION_LOST,
+            reason=reason,
+            revision=self._key.revision,
+            held_ms=self._app.clock.now_ms() - self._key.written_ms,
+            present=self._entry.node in self._directory.present,
+        )
+
+    async def _async_stay_registered(self) -> str:
+        """Renew the lease until it has ended or the key is lost; return which of them.
 
         After a failed renewal there is time for another one before the lease ends.
         """
@@ -183,8 +197,9 @@
             await asyncio.sleep(pause_ms / 1000)
             fault = await self._key.async_renew()
             if fault is StoreFault.LEASE_ENDED:
-                return
+                return "lease ended"
             pause_ms = NODE_RENEWAL_MS if fault is None else STORE_RETRY_MAX_MS
+        return "not listed"
 
     async def _async_register(self) -> bool:
         async with self._writing:
--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -416,6 +416,7 @@
             proof=proof,
             stepped_down=stepped_down,
             waited_ms=self._app.clock.now_ms() - started_ms,
+            awaited=len(self._directory.present.union(self._directory.nodes)),
             unacknowledged=len(pending),
             nodes=" ".join(sorted(pending)[:MAX_LOGGED_NODES]),
         )
