Let no late call of an ended process remove the registration of the next one

Cause: a process that ends removes nodes/NODE and present/NODE whatever has been written there since. A call without an answer may be executed seconds later, when the next process of the node has registered. The holder of the promotion lease then does not wait for that process; if it has lost the store it goes on by the reports of the members, as nothing tells it that it is not waited for. What callers saw: writes acknowledged at a superseded primary, and rolled back (ONE); reads there lack later commits (STALE). Change: each registration writes present/NODE anew, so its revision names the process. The removal, and the mark of leaving, are conditional on it; after a conflict the revision is read and the removal sent once more. A process uses reports of members only once the store lists the key that it has written itself, since one of an earlier process may still be removed.

--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -131,6 +131,8 @@
         # missing when the store comes back older does not say that its node has ended.
         self.present: set[str] = set()
         self._is_returning = False
+        # Era and revision of the first registration of this process in that era.
+        self._registered: tuple[int, int] | None = None
         # Revisions of the keys in `present`, and those of nodes that ended lately, with the time.
         self._presence_revisions: dict[str, int] = {}
         self._ended: dict[str, tuple[int, int]] = {}
@@ -415,7 +417,7 @@
             limits=self.limits,
             member_drain_ms=self._member_drain_ms,
         )
-        group.primary_lease.may_use_reports = self._node in self.present
+        group.primary_lease.may_use_reports = self._is_awaited()
         self.groups[service] = group
         self._changed_services.add(service)
         item = self.store_copy.items.get(GROUPS_PREFIX + service)
@@ -542,8 +544,29 @@
             self._presence_revisions[name] = item.revision
             self._ended.pop(name, None)
         if name == self._node:
-            for group in self.groups.values():
-                group.primary_lease.may_use_reports = name in self.present
+            self._update_use_of_reports()
+
+    def note_registered(self, revision: int, era: int) -> None:
+        """Note that the store has registered this process, with its key in `present`."""
+        if self._registered is None or self._registered[0] != era:
+            self._registered = (era, revision)
+        self._update_use_of_reports()
+
+    def _update_use_of_reports(self) -> None:
+        for group in self.groups.values():
+            group.primary_lease.may_use_reports = self._is_awaited()
+
+    def _is_awaited(self) -> bool:
+        """Return whether changes of primaries wait for this process also without a registration.
+
+        A key in `present` of an earlier process may be removed by the last call of that one, which
+        may be executed late. In a later era of the store, the key is written again by others.
+        """
+        if self._node not in self.present or self._registered is None:
+            return False
+        era, revision = self._registered
+        is_own = self._presence_revisions.get(self._node, 0) >= revision
+        return is_own or era != self.store_copy.era
 
     def _was_written_by_node(self, item: Item) -> bool:
         """Return whether a node may have written a key in `present`; nodes leave it empty.
--- a/libs/gateway/burdockrun_gateway/leases.py
+++ b/libs/gateway/burdockrun_gateway/leases.py
@@ -53,7 +53,10 @@
         *,
         lasting_key: str = "",
     ) -> None:
-        """`lasting_key` is written with the key, and stays when the lease ends."""
+        """`lasting_key` is written with the key, and stays when the lease ends.
+
+        Its revision names this process: the next one of the node writes it anew.
+        """
         self.revision = 0
         self.era = 0
         self.written_ms = 0
@@ -101,9 +104,16 @@
         if self._lease:
             self.written_ms = self._app.clock.now_ms()
             await self._store.async_commit(
-                {}, [Write(key=self._key, value=value, lease=self._lease)]
+                self._expect_own(), [Write(key=self._key, value=value, lease=self._lease)]
             )
 
+    def _expect_own(self) -> dict[str, int]:
+        """Return the condition under which the keys are still those of this process.
+
+        A call without an answer may be executed after this process has ended.
+        """
+        return {self._lasting_key: self.revision} if self._lasting_key else {}
+
     async def async_renew(self) -> StoreFault | None:
         """Renew the lease; return why that failed, or None."""
         sent_ms = self._app.clock.now_ms()
@@ -127,10 +137,23 @@
     async def _async_remove(self) -> bool:
         ended = await self._async_end_doubtful_lease()
         if self._lasting_key:
-            removed = await self._store.async_commit({}, [], [self._key, self._lasting_key])
-            return ended and isinstance(removed, Ok)
+            return ended and await self._async_remove_own()
         return ended and (not self._lease or await self._async_end(self._lease))
 
+    async def _async_remove_own(self) -> bool:
+        """Remove the key and the lasting one, unless a later process has written them."""
+        keys = [self._key, self._lasting_key]
+        removed = await self._store.async_commit(self._expect_own(), [], keys)
+        if removed != Err(StoreFault.CONFLICT):
+            return isinstance(removed, Ok)
+        # A write without an answer was executed, or the keys are those of an earlier process.
+        listed = await self._store.async_list(self._lasting_key, on_progress=lambda: None)
+        if isinstance(listed, Err):
+            return False
+        revisions = {item.key: item.revision for item in listed.ok_value.items}
+        self.revision = revisions.get(self._lasting_key, 0)
+        return isinstance(await self._store.async_commit(self._expect_own(), [], keys), Ok)
+
     async def _async_end_doubtful_lease(self) -> bool:
         """End the lease of a write that may be executed late, which then has no effect."""
         if self._doubtful_lease and await self._async_end(self._doubtful_lease):
@@ -172,6 +195,7 @@
                 await asyncio.sleep(STORE_RETRY_MAX_MS / 1000)
                 continue
             self._app.events.write(REGISTERED, revision=self._key.revision, era=self._key.era)
+            self._directory.note_registered(self._key.revision, self._key.era)
             # Primary leases start with the first answer of the store that has the registration.
             self._directory.store_copy.poll_now()
             reason = await self._async_stay_registered()
--- /dev/null
+++ b/tests/site/test_late_calls.py
@@ -0,0 +1,128 @@
+"""Tests of calls to the store that are executed after the process that sent them has ended."""
+
+import asyncio
+from unittest.mock import patch
+
+import pytest
+from burdockrun_base import SystemClock
+from burdockrun_gateway import Gateway
+from burdockrun_gateway.const import NODES_PREFIX, PRESENCE_PREFIX, RELEASE_TRIES
+from burdockrun_gateway.leases import LeasedKey
+from burdockrun_site.http import HttpFault
+from burdockrun_site.store import PlatformStore
+from result import Err
+
+from tests.site.common import SERVICE, Deployment, async_deploy, error_of
+from tests.site.test_lost_store_answers import COMMIT, LostAnswers
+from tests.site.test_supervision import cut_off_from_other_nodes, find_other_node
+
+# A call without an answer is executed this long after it was sent: the next process is registered.
+LATE_S = 3.0
+# After the removal of a registration, no node is waited for that has left.
+LEFT_S = 1.8
+# A primary that most nodes have lost is replaced within this time.
+REPLACED_S = 8.0
+
+
+async def async_restart(deployment: Deployment, index: int, answers: LostAnswers) -> Gateway:
+    """End a gateway whose last calls get no answer, and start the next process of its node."""
+    gateway = deployment.gateways[index]
+    node = gateway._entry.node
+    answers.patch_gateway(gateway)
+    await gateway._registration.async_release()
+    await deployment.async_stop_gateway(node)
+    started = await deployment.async_add_gateway(node)
+    await deployment.async_wait_until(lambda: deployment.is_serving(started))
+    return started
+
+
+def cut_off_from_store(gateway: Gateway) -> None:
+    """Let no call of a gateway reach the store."""
+    store = gateway.directory.store_copy._store
+    assert isinstance(store, PlatformStore)
+
+    async def async_fail(method: str, target: str, **named: object) -> Err[HttpFault]:
+        await asyncio.sleep(0.1)
+        return Err(HttpFault.NO_RESPONSE)
+
+    store._http.async_call = async_fail  # type: ignore[method-assign]
+
+
+async def async_count_late_commits(deployment: Deployment, gateway: int, seconds: float) -> int:
+    """Write through a gateway; return how many acknowledged writes followed a promotion."""
+    client = await deployment.async_connect("urgent", gateway)
+    members = [member for name, member in deployment.members.items() if name != "a"]
+    late, end = 0, SystemClock().now_ms() + seconds * 1000
+    while SystemClock().now_ms() < end:
+        is_replaced = any(member.primary for member in members)
+        answer = await client.async_query("WRITE ward v1")
+        is_at_old = any(one.request_id == client.last_id for one in deployment.members["a"].log)
+        late += is_replaced and error_of(answer) == "" and is_at_old
+        await asyncio.sleep(0.01)
+    assert any(member.primary for member in members)
+    return late
+
+
+async def test_a_late_removal_does_not_let_the_next_process_use_a_superseded_primary() -> None:
+    """Guards against writes at a superseded primary (ONE) by a node that has lost the store.
+
+    The removal of its registration by its previous process is executed after it has registered, and
+    the holder of the promotion lease does not wait for it.
+    """
+    async with async_deploy(gateways=3) as deployment:
+        await asyncio.sleep(1.0)
+        index = find_other_node(deployment)
+        answers = LostAnswers()
+        answers.fates = [(COMMIT, LATE_S)] * RELEASE_TRIES
+        answers.is_reset = True
+        started = await async_restart(deployment, index, answers)
+        started_index = len(deployment.gateways) - 1
+        await asyncio.sleep(0.2)
+        cut_off_from_store(started)
+        await asyncio.sleep(LATE_S + LEFT_S)
+        cut_off_from_other_nodes(deployment, started_index, "a")
+        assert await async_count_late_commits(deployment, started_index, REPLACED_S) == 0
+
+
+@pytest.mark.parametrize("call", ["release", "leave"])
+async def test_a_late_call_leaves_the_registration_of_the_next_process(call: str) -> None:
+    """Guards against a node that its previous process unregisters, or marks as leaving."""
+    async with async_deploy(gateways=2) as deployment:
+        answers = LostAnswers()
+        answers.fates = [(COMMIT, LATE_S)] * (RELEASE_TRIES if call == "release" else 1)
+        answers.is_reset = True
+        if call == "leave":
+            answers.patch_gateway(deployment.gateways[1])
+            await deployment.gateways[1]._registration.async_leave()
+        await async_restart(deployment, 1, answers)
+        keys = [NODES_PREFIX + "node-2", PRESENCE_PREFIX + "node-2"]
+        revisions = [deployment.store.entries[key].revision for key in keys]
+        await asyncio.sleep(LATE_S + 0.5)
+        assert len(answers.lost) == (RELEASE_TRIES if call == "release" else 1)
+        assert [deployment.store.entries[key].revision for key in keys] == revisions
+
+
+async def test_a_process_without_a_registration_of_its_own_uses_no_reports() -> None:
+    """Guards against a primary lease that rests on what an earlier process may still remove."""
+    async with async_deploy(gateways=2) as deployment:
+        deployment.store.put(PRESENCE_PREFIX + "node-3", b"")
+        with patch.object(LeasedKey, "async_acquire", return_value=False):
+            started = await deployment.async_add_gateway("node-3")
+            await deployment.async_wait_until(lambda: "node-3" in started.directory.present)
+            lease = started.directory.groups[SERVICE].primary_lease
+            assert not lease.may_use_reports
+        await deployment.async_wait_until(lambda: lease.may_use_reports)
+
+
+async def test_a_process_that_missed_an_answer_removes_its_registration() -> None:
+    """Guards against changes of primaries that wait for a node which has ended."""
+    async with async_deploy(gateways=2) as deployment:
+        gateway = deployment.gateways[1]
+        answers = LostAnswers()
+        answers.patch_gateway(gateway)
+        answers.fates = [(COMMIT, "executed")]
+        answers.is_reset = True
+        assert not await gateway._registration._key.async_acquire(None)
+        await gateway._registration.async_release()
+        left = [key for key in deployment.store.entries if key.endswith("/node-2")]
+        assert [key for key in left if "/acks/" not in key] == []
