Wait for nodes that may have come and gone while the store was not followed

Cause: the holder of the promotion lease cuts its wait short when all nodes that it knows have acknowledged a change and none has left for a lease. A node that registers and is unregistered between two listings with a gap (the store has dropped its history, or a copy source has) is never known, though it may hold a primary lease by the record for 1.5 s. Change: a listing with a gap counts as a moment at which a node left, as the return of a restored store does. Result: test_a_node_that_registered_and_left_unseen_is_waited_for[True] fails before (one run) and passes after; [False], with the history kept, passes in both. Cost: a change within 1.6 s of such a listing waits for up to 1.6 s.

--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -157,6 +157,7 @@
             on_positions=self._learn_positions,
             on_restored=self._handle_restored,
             on_listed=self._failed_items.allow_again,
+            on_missed=self._handle_missed,
         )
 
     def handle_change_notification(self, host: str) -> None:
@@ -280,6 +281,10 @@
         for group in self.groups.values():
             group.close()
 
+    def _handle_missed(self) -> None:
+        """Assume that a node has registered and left among the changes that are not known."""
+        self.last_node_left_ms = self._app.clock.now_ms()
+
     def _handle_restored(self) -> None:
         """Assume that registrations are missing which the store had before it came back older."""
         self.last_node_left_ms = self._app.clock.now_ms()
--- a/libs/gateway/burdockrun_gateway/store_copy.py
+++ b/libs/gateway/burdockrun_gateway/store_copy.py
@@ -50,6 +50,8 @@
 OnRestored = Callable[[], None]
 # Called after a complete listing, before the items that it has changed.
 OnListed = Callable[[], None]
+# Called when a listing follows one before it only with a gap, in which keys may have come and gone.
+OnMissed = Callable[[], None]
 # Called with the time at which the store was polled for the data, by this node or a copy source.
 OnConfirmed = Callable[[int], None]
 # Called with the positions that a copy source knows, and the time at which it was asked.
@@ -77,6 +79,7 @@
         on_positions: OnPositions = lambda positions, sent_ms: None,
         on_restored: OnRestored = lambda: None,
         on_listed: OnListed = lambda: None,
+        on_missed: OnMissed = lambda: None,
     ) -> None:
         self.copy_sources = PeerSelector(app.clock, COPY_SOURCE_RETRY_MS)
         # Nodes whose copies are used while the store refuses this node.
@@ -99,6 +102,7 @@
         self._on_positions = on_positions
         self._on_restored = on_restored
         self._on_listed = on_listed
+        self._on_missed = on_missed
         self.as_of = 0
         self.era = 0
         self._poll_interval_ms = STORE_POLL_INTERVAL_MS
@@ -287,6 +291,8 @@
             self._history.start_after(listing.as_of)
         else:
             self._keep_history(listing, [*newest.values(), *removed])
+        if listing.complete or listing.gap is not None:
+            self._on_missed()
         if listing.complete:
             self._must_list = False
             self.loaded = True
--- a/tests/site/test_supervision.py
+++ b/tests/site/test_supervision.py
@@ -8,13 +8,16 @@
 import pytest
 from burdockrun_base import LogPosition, SystemClock
 from burdockrun_gateway.const import (
+    ACKS_PREFIX,
     DOCUMENT_UNUSABLE,
     LEASE_BASIS_CHANGED,
+    NODES_PREFIX,
     PRESENCE_PREFIX,
     PREVIOUS_PRIMARY_STOPPED,
 )
 from burdockrun_gateway.group import Group
 from burdockrun_gateway.ports import Item, StoreFault
+from burdockrun_gateway.records import dump_ack
 from burdockrun_gateway.successors import StepFailedError
 from burdockrun_gateway.supervisor import Supervisor
 from burdockrun_groups import PRIMARY_LEASE_MARGIN_MS, PRIMARY_LEASE_MS, GroupRecord, Reason
@@ -667,3 +670,33 @@
         await deployment.async_wait_until(lambda: bool(deployment.store.promotions))
         # The loss is noticed within 0.6 s, and the leases end 1.6 s after the pause.
         assert time.monotonic() - started < 3.0
+
+
+@pytest.mark.parametrize("is_missed", [True, False])
+async def test_a_node_that_registered_and_left_unseen_is_waited_for(is_missed: bool) -> None:
+    """Guards against a primary lease that a node has taken while the holder could not see it.
+
+    The store drops its history, and the holder lists all keys anew.
+    """
+    async with async_deploy(gateways=2) as deployment:
+        holder = deployment.gateways[0]
+        copy = holder.directory.store_copy
+        record = GroupRecord(service=SERVICE, primary="", epoch=2, era=copy.era)
+        for node in ("node-1", "node-2"):
+            key = f"{ACKS_PREFIX}{SERVICE}/{node}"
+            deployment.store.put(key, dump_ack(record.version()))
+        await deployment.async_wait_until(
+            lambda: holder.directory.all_stopped(record, deployment.store.revision)
+        )
+        listed = AsyncMock(wraps=copy._store.async_list)
+        with patch.object(copy._store, "async_list", listed):
+            for key in (NODES_PREFIX + "node-3", PRESENCE_PREFIX + "node-3"):
+                deployment.store.put(key, b"")
+                deployment.store.remove(key)
+            if is_missed:
+                deployment.store.compact()
+            revision = deployment.store.revision
+            copy.poll_now()
+            await deployment.async_wait_until(lambda: copy.as_of >= revision)
+        assert listed.called == is_missed
+        assert not holder.directory.all_stopped(record, revision)
