Correct what the store lists as a node's suspicion, whenever it was executed

Cause: a node compared its suspicion of a primary with what it had last reported, not with what the store lists. A report or withdrawal without an answer, also one of the previous process of the node, may be executed after later ones: a sound primary then stays suspected by that node, or a lost one is not replaced since its report is gone. Change: when the listed suspicion of this node changes, the reporter takes it for what has been reported, unless the copy is older than its last answered report, and reports again if that differs. No call more at rest.

--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -90,6 +90,8 @@
         self.nodes = self.layout.nodes
         # By service and reporting node, the member that the node cannot reach.
         self.suspicions: dict[str, dict[str, str]] = {}
+        # Services for which the listed suspicion of this node has changed, until it is looked at.
+        self.own_suspicions_changed: set[str] = set()
         self.changed = ChangeSignal()
         # Called with the previous and the new configuration when one comes into force.
         self.on_configuration: Callable[[Configuration, Configuration], None] = (
@@ -650,6 +652,8 @@
         if group is not None:
             group.evidence_changed = True
         self.suspicions.get(service, {}).pop(node, None)
+        if node == self._node:
+            self.own_suspicions_changed.add(service)
         if item.value is None:
             return
         suspicion = self._accept(item, load_suspicion(item.value))
--- a/libs/gateway/burdockrun_gateway/state_reporter.py
+++ b/libs/gateway/burdockrun_gateway/state_reporter.py
@@ -27,6 +27,8 @@
         self._node = node
         # By service, the suspicion of this node that the store has.
         self._suspected: dict[str, str] = {}
+        # By service, the revision of the newest answered report of a suspicion.
+        self._revisions: dict[str, int] = {}
         self._era = 0
         self._acknowledged: dict[str, tuple[int, int]] = {}
 
@@ -35,6 +37,7 @@
         while True:
             await self._directory.changed.async_wait(TICK_MS)
             self._check_era()
+            self._check_listed()
             for service, group in list(self._directory.groups.items()):
                 try:
                     await self._async_report(service, group)
@@ -46,18 +49,34 @@
         era = self._directory.store_copy.era
         if era != self._era:
             self._era = era
+            self._revisions.clear()
             self._suspected = {
                 service: suspicions[self._node]
                 for service, suspicions in self._directory.suspicions.items()
                 if self._node in suspicions
             }
 
+    def _check_listed(self) -> None:
+        """Learn what the store has of this node's suspicions when that has changed.
+
+        A report without an answer, also of an earlier process, may be executed after later ones.
+        """
+        as_of = self._directory.store_copy.as_of
+        changed, self._directory.own_suspicions_changed = (
+            self._directory.own_suspicions_changed,
+            set(),
+        )
+        for service in changed:
+            if as_of >= self._revisions.get(service, 0):
+                listed = self._directory.suspicions.get(service, {})
+                self._suspected[service] = listed.get(self._node, "")
+
     async def _async_report(self, service: str, group: Group) -> None:
         record = group.primary_lease.record
         stopped = record.version() if record is not None and not record.primary else (0, 0)
         if stopped > self._acknowledged.get(service, (0, 0)):
             key = f"{ACKS_PREFIX}{service}/{self._node}"
-            if await self._async_commit([Write(key=key, value=dump_ack(stopped))]):
+            if await self._async_commit([Write(key=key, value=dump_ack(stopped))]) is not None:
                 self._acknowledged[service] = stopped
         suspected = group.suspected
         if suspected == self._suspected.get(service, ""):
@@ -65,16 +84,19 @@
         key = f"{SUSPECTS_PREFIX}{service}/{self._node}"
         suspicion = Suspicion(node=self._node, service=service, member=suspected)
         writes = [Write(key=key, value=dump_suspicion(suspicion))] if suspected else []
-        if await self._async_commit(writes, [] if suspected else [key]):
+        revision = await self._async_commit(writes, [] if suspected else [key])
+        if revision is not None:
             self._suspected[service] = suspected
+            self._revisions[service] = revision
             self._directory.notify_all_nodes()
 
     async def _async_commit(
         self, writes: Sequence[Write], deleted_keys: Sequence[str] = ()
-    ) -> bool:
+    ) -> int | None:
+        """Return the revision of a transaction, None without an answer."""
         result = await self._store.async_commit({}, writes, deleted_keys)
         if isinstance(result, Err):
             await asyncio.sleep(STORE_RETRY_MS / 1000)
-            return False
+            return None
         self._directory.notify_lease_holder()
-        return True
+        return result.ok_value.revision
--- a/tests/site/test_late_calls.py
+++ b/tests/site/test_late_calls.py
@@ -6,8 +6,16 @@
 import pytest
 from burdockrun_base import SystemClock
 from burdockrun_gateway import Gateway
-from burdockrun_gateway.const import NODES_PREFIX, PRESENCE_PREFIX, RELEASE_TRIES
+from burdockrun_gateway.const import (
+    NODES_PREFIX,
+    PRESENCE_PREFIX,
+    RELEASE_TRIES,
+    SUSPECTS_PREFIX,
+)
+from burdockrun_gateway.group import Group
 from burdockrun_gateway.leases import LeasedKey
+from burdockrun_gateway.records import dump_suspicion
+from burdockrun_groups import Suspicion
 from burdockrun_site.http import HttpFault
 from burdockrun_site.store import PlatformStore
 from result import Err
@@ -22,6 +30,8 @@
 LEFT_S = 1.8
 # A primary that most nodes have lost is replaced within this time.
 REPLACED_S = 8.0
+# What a node has reported is corrected within this time, a few polls of the store.
+CORRECTED_S = 3.0
 
 
 async def async_restart(deployment: Deployment, index: int, answers: LostAnswers) -> Gateway:
@@ -126,3 +136,23 @@
         await gateway._registration.async_release()
         left = [key for key in deployment.store.entries if key.endswith("/node-2")]
         assert [key for key in left if "/acks/" not in key] == []
+
+
+@pytest.mark.parametrize("late", ["suspicion", "withdrawal"])
+async def test_a_report_executed_late_is_corrected(late: str) -> None:
+    """Guards against a primary that is replaced, or not replaced, for what a node said before."""
+    async with async_deploy(gateways=2) as deployment:
+        group = deployment.gateways[1].directory.groups[SERVICE]
+        key = f"{SUSPECTS_PREFIX}{SERVICE}/node-2"
+        value = dump_suspicion(Suspicion(node="node-2", service=SERVICE, member="a"))
+        with patch.object(Group, "_update_suspicion"):
+            group.suspected = "a" if late == "withdrawal" else ""
+            await asyncio.sleep(0.5)
+            assert (key in deployment.store.entries) == (late == "withdrawal")
+            if late == "withdrawal":
+                deployment.store.remove(key)
+            else:
+                deployment.store.put(key, value)
+            await deployment.async_wait_until(
+                lambda: (key in deployment.store.entries) == (late == "withdrawal"), CORRECTED_S
+            )
