Give a node time to remove its registration also after a drain to the end

Cause: the removal got what the drain left of its time. When a client stays until the end, that is 0 to 1 ms: the call is sent and given up, 1361 is logged though the store is sound, and changes of primaries wait in full for the node until it has started again. Change: the removal has at least 1/24 of the grace period (250 ms of 6 s) after the drain, which ends at 11/12 of it. Result: test_a_node_whose_clients_stay_to_the_end_is_unregistered fails before (1361 with allowed_ms 0) and passes after; tests/site/test_drain.py: 30 passed.

--- a/libs/gateway/burdockrun_gateway/const.py
+++ b/libs/gateway/burdockrun_gateway/const.py
@@ -255,8 +255,9 @@
 DRAIN_ABORT_SHARE: Final = 2 / 3
 # A statement at a member is waited for up to the last sixth of the grace period.
 DRAIN_SETTLE_SHARE: Final = 5 / 6
-# The rest is left for the end of the process.
+# The rest is left for the end of the process: at least the second share for its registration.
 DRAIN_END_SHARE: Final = 11 / 12
+DRAIN_UNREGISTER_SHARE: Final = 1 / 24
 # A drain ends early once no client has come for this long: connections that the platform had opened
 # before the second failed probe may still be on their way.
 DRAIN_QUIET_MS: Final = 250
--- a/libs/gateway/burdockrun_gateway/drain.py
+++ b/libs/gateway/burdockrun_gateway/drain.py
@@ -14,6 +14,7 @@
     DRAIN_QUIET_MS,
     DRAIN_REFUSE_SHARE,
     DRAIN_SETTLE_SHARE,
+    DRAIN_UNREGISTER_SHARE,
 )
 
 STOPPING: Final = "the gateway is stopping"
@@ -72,6 +73,10 @@
         """Return when the drain ends, whatever is still open."""
         return DRAIN_END_SHARE * self.grace_ms
 
+    def unregister_ms(self) -> float:
+        """Return the least time that a node has to remove its registration, after the drain."""
+        return DRAIN_UNREGISTER_SHARE * self.grace_ms
+
     def may_end(self, elapsed_ms: float, use: "DrainUse") -> bool:
         """Return whether a drain ends before the last phase, since nobody uses the node any more.
 
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -375,6 +375,7 @@
             await self._async_settle(end_ms)
         run_guarded(self._app, "drain", self._log_drain, started_ms)
         # Other nodes may take the place of this one from now on: no statement can run any more.
+        end_ms = max(end_ms, self._app.clock.now_ms() + self._schedule.unregister_ms())
         await self._async_call_store("unregister", self._registration.async_release, end_ms)
 
     async def async_refuse_clients(self) -> None:
--- a/tests/site/test_drain.py
+++ b/tests/site/test_drain.py
@@ -8,8 +8,9 @@
 from unittest.mock import patch
 
 import pytest
-from burdockrun_gateway import ClientSession
+from burdockrun_gateway import ClientSession, Gateway
 from burdockrun_gateway.const import (
+    DRAIN_CALL_FAILED,
     DRAIN_QUIET_MS,
     NODES_PREFIX,
     PRESENCE_PREFIX,
@@ -27,6 +28,7 @@
     count_failures,
     error_of,
     fail_first,
+    read_events,
 )
 
 GRACE_MS = 1_200
@@ -267,6 +269,18 @@
         assert key not in deployment.store.entries
 
 
+async def test_a_node_whose_clients_stay_to_the_end_is_unregistered(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against changes of primaries that wait for a node which had no time to say goodbye."""
+    async with async_deploy(gateways=1, grace_ms=GRACE_MS) as deployment:
+        deployment.store.delay_s = 0.005
+        with patch.object(Gateway, "_has_clients", return_value=True):
+            assert await async_drain(deployment) < GRACE_MS / 1000
+        assert read_events(caplog, DRAIN_CALL_FAILED.number) == []
+        assert f"{PRESENCE_PREFIX}node-1" not in deployment.store.entries
+
+
 async def test_a_session_that_waits_for_the_start_is_refused_at_once() -> None:
     """Guards against a client whose CONNECT gets no answer from a node that is stopped early."""
     async with async_deploy(gateways=1, grace_ms=GRACE_MS) as deployment:
