Count no late answer to a ping of an earlier process as proof of a roster

Cause: each process numbered its pings from 1. An answer that a peer had computed for the earlier process of a node, and that was delivered to the next one (the address is the same), matched a ping of the new process with the same number. The age of the proof in it was counted from the new ping, so the node took old proof that no later roster is sealed for new, told others of it, and vouched as a witness although nothing had been read since its start. Change: pings take their numbers from the node's source of ids, which begins at a random number in each process (forwards and connections use it already). No random number more is drawn. Pings and answers get up to 12 digits longer; figures of bytes in the documents are of before.

--- a/libs/fleet/burdockrun_fleet/agent.py
+++ b/libs/fleet/burdockrun_fleet/agent.py
@@ -1,7 +1,7 @@
 """Agent through which a node takes part in the fleet."""
 
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 
 from burdockrun_messages import (
     AuditPush,
@@ -55,8 +55,9 @@
 class FleetAgent:
     """Membership, homes, tickets, terms and audit trail of one node; also its `Directory`.
 
-    `wall_offset_ms` is added to the time of the node's clock to get Unix time in ms, for values
-    that operators read. Callbacks get the time of the node's clock in ms.
+    `ids` gives numbers that no earlier process of the node has used. `wall_offset_ms` is added to
+    the time of the node's clock to get Unix time in ms, for values that operators read. Callbacks
+    get the time of the node's clock in ms.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         rng: random.Random,
         ticket_functions: TicketFunctions,
         *,
+        ids: Iterator[int],
         options: GossipOptions | None = None,
         wall_offset_ms: int = 0,
     ) -> None:
@@ -87,7 +89,9 @@
         self._roles = RoleManager(node, self._rosters, self._evidence, outbox)
         self._vms = VmList(node)
         self._trail = AuditTrail(node, outbox, wall_offset_ms=wall_offset_ms)
-        self._membership = Membership(node, outbox, rng, self._build_digest, self._peer_changed)
+        self._membership = Membership(
+            node, outbox, rng, self._build_digest, self._peer_changed, ids=ids
+        )
         self._membership.on_ack = lambda ack, sent_ms, now_ms: self._evidence.note_ack(
             ack, sent_ms, self._rosters.rosters
         )
--- a/libs/fleet/burdockrun_fleet/membership.py
+++ b/libs/fleet/burdockrun_fleet/membership.py
@@ -1,7 +1,7 @@
 """SWIM membership: random probes, suspicion and updates piggybacked on the probes."""
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from burdockrun_messages import (
@@ -38,7 +38,11 @@
 
 
 class Membership(PeerTable):
-    """Probes the peers and answers theirs; `build_digest` makes the digest sent with each."""
+    """Probes the peers and answers theirs; `build_digest` makes the digest sent with each.
+
+    `ids` gives numbers that no earlier process of the node has used, so that a late answer to one
+    of its probes matches none of this process.
+    """
 
     def __init__(
         self,
@@ -47,12 +51,14 @@
         rng: random.Random,
         build_digest: Callable[[int], Digest],
         on_change: Callable[[NodeInfo, NodeState, int], None],
+        *,
+        ids: Iterator[int],
     ) -> None:
         super().__init__(node, rng, on_change)
         self.on_ack: Callable[[PingAck, int, int], None] | None = None
         self._outbox = outbox
         self._build_digest = build_digest
-        self._sequence = 0
+        self._ids = ids
         self._probes: dict[int, _Probe] = {}
         self._order = PingOrder(node.domain, rng, self.list_alive)
         self._next_ping_ms = 0
@@ -159,11 +165,11 @@
         self._start_probe(probe, now_ms)
 
     def _start_probe(self, probe: _Probe, now_ms: int) -> None:
-        self._sequence += 1
-        self._probes[self._sequence] = probe
+        sequence = next(self._ids)
+        self._probes[sequence] = probe
         peer = self.peers.get(probe.target.node)
         ping = Ping(
-            sequence=self._sequence,
+            sequence=sequence,
             sender=self.node,
             incarnation=self.incarnation,
             digest=self._build_digest(now_ms),
--- a/libs/fleet/burdockrun_fleet/simulation.py
+++ b/libs/fleet/burdockrun_fleet/simulation.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from itertools import count
 
 from burdockrun_messages import (
     CallPlatform,
@@ -29,6 +30,8 @@
 from burdockrun_fleet.models import GossipOptions, TicketFunctions
 
 TICK_MS = 50
+# The ids of each process begin at a multiple of two to this power.
+_ID_BITS = 40
 
 
 @dataclass(slots=True)
@@ -75,6 +78,7 @@
     ) -> None:
         self.now_ms = 1_000
         self.rng = random.Random(seed)
+        self._started = 0
         self.store = KeyValueStore(vm_list_lag_ms=5_000)
         self.network = Network()
         self.nodes: dict[str, SimNode] = {}
@@ -91,7 +95,16 @@
         """Start a node, or start it again under the same name."""
         outbox = Outbox()
         rng = random.Random(self.rng.getrandbits(64))
-        agent = FleetAgent(info, seeds, outbox, rng, self._ticket_functions, options=self._options)
+        self._started += 1
+        agent = FleetAgent(
+            info,
+            seeds,
+            outbox,
+            rng,
+            self._ticket_functions,
+            ids=count(self._started << _ID_BITS),
+            options=self._options,
+        )
         node = self.nodes[info.node] = SimNode(info, agent, outbox)
         self.update_vm_list()
         agent.start(self.now_ms)
--- a/libs/proxy/burdockrun_proxy/node.py
+++ b/libs/proxy/burdockrun_proxy/node.py
@@ -114,7 +114,13 @@
         self._handover_until_ms = 0
         self._configuration = Configuration()
         self.fleet = FleetAgent(
-            node, seeds, self._outbox, rng, ticket_functions, wall_offset_ms=wall_offset_ms
+            node,
+            seeds,
+            self._outbox,
+            rng,
+            ticket_functions,
+            ids=self._ids,
+            wall_offset_ms=wall_offset_ms,
         )
         self._placement = policies.placement(self.fleet)
         self.fleet.on_configuration = self._apply_configuration
