--- a/libs/fleet/burdockrun_fleet/snapshots.py
+++ b/libs/fleet/burdockrun_fleet/snapshots.py
@@ -57,6 +57,7 @@
         self._may_act = may_act
         self._every = every
         self._retained = retained
+        self._tenure = 0
         self._waiting = False
         self._head = KeyEntry(key=SNAPSHOT_HEAD, value="", revision=0)
         self._written = 0
@@ -64,7 +65,11 @@
         self._pending_operations: list[PlatformOperation] = []
 
     def restart(self) -> None:
-        """Start over with a read of the head, after the lease was acquired."""
+        """Start over with a read of the head, after the lease was acquired.
+
+        Replies to earlier calls are ignored.
+        """
+        self._tenure += 1
         self._checked_number = -1
         self._pending_operations = []
         self._waiting = False
@@ -86,9 +91,12 @@
         on_reply: Callable[[PlatformReply, int], None],
         now_ms: int,
     ) -> None:
+        tenure = self._tenure
+
         def finish(reply: PlatformReply, then_ms: int) -> None:
-            self._waiting = False
-            on_reply(reply, then_ms)
+            if tenure == self._tenure:
+                self._waiting = False
+                on_reply(reply, then_ms)
 
         self._waiting = self._platform.call(operation, finish, now_ms)
 
--- a/tests/fleet/common.py
+++ b/tests/fleet/common.py
@@ -146,3 +146,25 @@
             self.clock.advance(50)
             tick(self.clock.now_ms())
             self.answer(self.outbox)
+
+
+class HeldCalls:
+    """Calls of a component to the store, each executed or lost when the test says so."""
+
+    def __init__(self, driver: StoreDriver) -> None:
+        self._driver = driver
+
+    def take(self) -> CallPlatform:
+        """Return the one call that the component has made."""
+        (call,) = [one for one in self._driver.outbox.drain() if isinstance(one, CallPlatform)]
+        return call
+
+    def execute(self, call: CallPlatform) -> None:
+        """Execute a call and deliver the reply."""
+        event = PlatformAnswered(call_id=call.call_id, reply=self._driver.apply(call.operation))
+        self._driver.outbox.deliver_platform_reply(event, self._driver.clock.now_ms())
+
+    def lose(self, call: CallPlatform) -> None:
+        """End a call without executing it."""
+        event = PlatformAnswered(call_id=call.call_id, reply=PlatformFailure(reason="lost"))
+        self._driver.outbox.deliver_platform_reply(event, self._driver.clock.now_ms())
--- a/tests/fleet/test_tickets.py
+++ b/tests/fleet/test_tickets.py
@@ -7,7 +7,9 @@
 from burdockrun_fleet.const import SNAPSHOT_HEAD
 from burdockrun_fleet.simulation import Simulation, place_nodes
 from burdockrun_fleet.snapshots import SnapshotWriter
+from burdockrun_fleet.tickets import split_shards
 from burdockrun_messages import (
+    CallPlatform,
     GetKey,
     KeyEntry,
     KeysReply,
@@ -26,6 +28,7 @@
 from tests.fleet.common import (
     DOMAINS,
     TICKET_FUNCTIONS,
+    HeldCalls,
     StoreDriver,
     make_ticket,
     numbers_in_force,
@@ -198,3 +201,37 @@
         simulation.add(info, infos)
     simulation.run(15_000)
     assert numbers_in_force(simulation) == {30}
+
+
+def test_a_late_answer_from_before_a_lost_lease_does_not_count_for_the_next_snapshot() -> None:
+    """Guards against a head that names a snapshot of which a shard was never written."""
+    driver = StoreDriver(ManualClock())
+    calls = HeldCalls(driver)
+    applier = TicketApplier(TICKET_FUNCTIONS, Outbox())
+    applier.receive([TicketRecord(number=1, text=make_ticket(1, 300))], 0)
+    platform = PlatformClient(driver.outbox)
+    writer = SnapshotWriter(applier, platform, Backoff(driver.rng), lambda now_ms: True, every=1)
+    writer.tick(1)
+    calls.execute(calls.take())
+    writer.tick(1)
+    earlier = calls.take()
+    assert isinstance(earlier.operation, PutKey) and earlier.operation.key == snapshot_key(1, 0)
+    applier.receive([TicketRecord(number=2, text=make_ticket(2, 1))], 0)
+    writer.restart()
+    writer.tick(1)
+    calls.execute(calls.take())
+    writer.tick(1)
+    first = calls.take()
+    calls.execute(earlier)
+    writer.tick(1)
+    sent_early = [one for one in driver.outbox.drain() if isinstance(one, CallPlatform)]
+    calls.execute(first)
+    for call in sent_early:
+        calls.lose(call)
+    driver.run(20_000, writer.tick)
+    shards = split_shards(applier.dump())
+    assert len(shards) > 1
+    assert driver.read(SNAPSHOT_HEAD) == f'{{"number":2,"shards":{len(shards)}}}'
+    stored = [driver.read(snapshot_key(2, at)) for at in range(len(shards))]
+    assert [len(text) for text in stored] == [len(text) for text in shards]
+    assert stored == shards
