Ignore answers from before a lost lease when the audit trail is written

Change: answers to calls from before `restart` are ignored. Result: test_a_late_answer_from_before_a_lost_lease_does_not_count_for_the_next_batch failed before (the event of ticket 2 was in no batch), passes now. An event may be written twice after a lost lease, as before.

--- a/libs/fleet/burdockrun_fleet/reports.py
+++ b/libs/fleet/burdockrun_fleet/reports.py
@@ -112,11 +112,16 @@
         self._may_act = may_act
         self._sequence: int | None = None
         self._batch: list[AuditEntry] = []
+        self._tenure = 0
         self._waiting = False
         self._next_due_ms = 0
 
     def restart(self) -> None:
-        """Start over with a read of the next sequence number, after the lease was acquired."""
+        """Start over with a read of the next sequence number, after the lease was acquired.
+
+        Replies to earlier calls are ignored.
+        """
+        self._tenure += 1
         self._sequence = None
         self._waiting = False
 
@@ -148,9 +153,12 @@
         on_reply: Callable[[PlatformReply, int], None],
         now_ms: int,
     ) -> None:
+        tenure = self._tenure
+
         def finish(reply: PlatformReply, then_ms: int) -> None:
-            self._waiting = False
-            on_reply(reply, then_ms)
+            if tenure == self._tenure:
+                self._waiting = False
+                on_reply(reply, then_ms)
 
         self._waiting = self._platform.call(operation, finish, now_ms)
 
--- a/tests/fleet/test_coordinator.py
+++ b/tests/fleet/test_coordinator.py
@@ -30,7 +30,7 @@
 from hypothesis import strategies as st
 
 from tests.fleet.chaos import DOMAINS, Chaos
-from tests.fleet.common import StoreDriver, put_tickets, start_fleet
+from tests.fleet.common import HeldCalls, StoreDriver, put_tickets, start_fleet
 
 NODE = NodeInfo(node="node", domain="aug", host="10.0.0.1", port=1)
 
@@ -155,6 +155,32 @@
     assert seen == list(range(40))
 
 
+def test_a_late_answer_from_before_a_lost_lease_does_not_count_for_the_next_batch() -> None:
+    """Guards against audit events that are dropped though their batch was not stored."""
+    driver = StoreDriver(ManualClock())
+    calls = HeldCalls(driver)
+    trail = AuditTrail(NODE, Outbox())
+    writer = AuditWriter("aug", trail, PlatformClient(driver.outbox), Backoff(driver.rng), _always)
+    trail.record("ticket", 0, {"ticket": 1})
+    writer.tick(1)
+    calls.execute(calls.take())
+    writer.tick(1)
+    earlier = calls.take()
+    writer.stop()
+    writer.restart()
+    trail.record("ticket", 1, {"ticket": 2})
+    writer.tick(1)
+    calls.execute(calls.take())
+    writer.tick(1)
+    later = calls.take()
+    calls.execute(earlier)
+    calls.execute(later)
+    driver.run(20_000, writer.tick)
+    stored = [driver.read(audit_key("aug", sequence)) for sequence in (1, 2, 3)]
+    kept = [entry["fields"]["ticket"] for text in stored if text for entry in json.loads(text)]
+    assert set(kept) == {1, 2}
+
+
 @pytest.mark.parametrize("head", ["²", "9" * 5_000])
 def test_an_odd_head_of_the_audit_trail_does_not_stop_it(head: str) -> None:
     """Guards against an audit trail that ends at a value of another writer."""
