--- a/libs/base/burdockrun_base/__init__.py
+++ b/libs/base/burdockrun_base/__init__.py
@@ -3,7 +3,7 @@
 from burdockrun_base.application import Application
 from burdockrun_base.clock import Clock, ManualClock, SystemClock
 from burdockrun_base.descriptors import raise_descriptor_limit
-from burdockrun_base.errors import describe_error, locate_error, name_error, shorten_reason
+from burdockrun_base.errors import locate_error, name_error, shorten_reason
 from burdockrun_base.findings import Finding, Findings
 from burdockrun_base.log_events import (
     FORMAT_JSON,
@@ -50,7 +50,6 @@
     "Registry",
     "SystemClock",
     "define_event",
-    "describe_error",
     "list_events",
     "locate_error",
     "name_error",
--- a/libs/base/burdockrun_base/errors.py
+++ b/libs/base/burdockrun_base/errors.py
@@ -20,15 +20,6 @@
     return reason if len(reason) <= MAX_REASON_CHARS else reason[: MAX_REASON_CHARS - 1] + "…"
 
 
-def describe_error(error: BaseException) -> dict[str, str]:
-    """Return the fields of a log event for an unexpected error: the error and where it was raised.
-
-    >>> describe_error(ValueError("no number"))
-    {'error': "ValueError('no number')", 'trace': ''}
-    """
-    return {"error": shorten_reason(repr(error)), "trace": _describe_trace(error)}
-
-
 def locate_error(error: BaseException) -> dict[str, str]:
     """Return the type of an unexpected error and where it was raised, as fields of a log event.
 
--- a/libs/gateway/burdockrun_gateway/tasks.py
+++ b/libs/gateway/burdockrun_gateway/tasks.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from burdockrun_base import Application, describe_error
+from burdockrun_base import Application, locate_error
 
 from burdockrun_gateway.const import (
     TASK_FAILED,
@@ -15,14 +15,17 @@
 
 
 def report_failure(app: Application, task: str, error: BaseException, /, **details: object) -> None:
-    """Log and count an unexpected error; repeated ones of a task are logged once in a while."""
+    """Log and count an unexpected error; repeated ones of a task are logged once in a while.
+
+    The text of the error is left out: it may quote what a client, a member or another node sent.
+    """
     app.measurements.count("task_failures", task=task)
     app.events.write_spaced(
         TASK_FAILED,
         f"{task} {type(error).__name__}",
         TASK_LOG_INTERVAL_MS,
         task=task,
-        **describe_error(error),
+        **locate_error(error),
         **details,
     )
 
