Leave the text of errors out of the events 1361, 1362 and 1363

Change: 1361 has the type with the status or the system's message, 1362 the type (and `place` as before), 1363 the type and the trace.

--- a/libs/gateway/burdockrun_gateway/client_session.py
+++ b/libs/gateway/burdockrun_gateway/client_session.py
@@ -156,7 +156,7 @@
             HANDLING_FAILED,
             request=statement.request_id,
             database=self.database,
-            error=repr(error),
+            error=type(error).__name__,
             place=f"{Path(place.filename).name}:{place.lineno}",
         )
         return self._end_early("internal error")
--- a/libs/gateway/burdockrun_gateway/gateway.py
+++ b/libs/gateway/burdockrun_gateway/gateway.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Any
 
-from burdockrun_base import Application
+from burdockrun_base import Application, locate_error, name_error
 from burdockrun_groups import Configuration, NodeEntry
 from burdockrun_limits import Tolerance
 from burdockrun_statements import Answer, TransactionState
@@ -339,7 +339,9 @@
             return Err(SharingFault.MEMBER_SILENT)
 
         def handle_error(error: Exception) -> None:
-            self._app.events.write(SHARING_FAILED, member=member_id, host=host, error=repr(error))
+            self._app.events.write(
+                SHARING_FAILED, member=member_id, host=host, **locate_error(error)
+            )
 
         shared = SharedConnection(
             pool, on_answer, on_lost, on_error=handle_error, drain=self._shared_drain
@@ -398,7 +400,7 @@
         except TimeoutError:
             pass
         except Exception as fault:  # the drain has to go on
-            error = repr(fault)
+            error = name_error(fault)
         self._app.events.write(
             DRAIN_CALL_FAILED, call=name, error=error, allowed_ms=round(max(left_ms, 0))
         )
