Leave the text of errors out of what the event loop of the gateway logs

Cause: an error in a callback of the event loop (a protocol that receives something, a timer, a clean-up at the end) went to asyncio's own log with its text and traceback, which may quote what others have sent, and without an event or a count. Result: test_an_error_that_reaches_the_event_loop_is_logged_without_its_text (a process) failed before (the text of the KeyError in the output), passes now. tests/site/test_logged_errors.py, test_failed_handling.py, test_failed_tasks.py, test_start.py, test_held_ports.py, test_borders.py, tests/gateway/test_tasks.py and tests/test_events.py: 82 passed.

--- a/libs/gateway/burdockrun_gateway/__init__.py
+++ b/libs/gateway/burdockrun_gateway/__init__.py
@@ -46,6 +46,7 @@
 from burdockrun_gateway.records import dump_listing, load_listing
 from burdockrun_gateway.route_explanation import RouteExplainer, RouteQuestion
 from burdockrun_gateway.sharing import SharedConnection
+from burdockrun_gateway.tasks import handle_loop_failures
 
 __all__ = [
     "DEFAULT_GRACE_MS",
@@ -87,6 +88,7 @@
     "async_open_port",
     "decode_json",
     "dump_listing",
+    "handle_loop_failures",
     "is_host_address",
     "is_name",
     "load_listing",
--- a/libs/gateway/burdockrun_gateway/tasks.py
+++ b/libs/gateway/burdockrun_gateway/tasks.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any
+from functools import partial
+from typing import Any, Final
 
 from burdockrun_base import Application, locate_error
 
@@ -13,19 +14,41 @@
     TASK_RETRY_MS,
 )
 
+# Name under which errors are reported that reach the event loop.
+_LOOP: Final = "event loop"
+
 
 def report_failure(app: Application, task: str, error: BaseException, /, **details: object) -> None:
     """Log and count an unexpected error; repeated ones of a task are logged once in a while.
 
     The text of the error is left out: it may quote what a client, a member or another node sent.
     """
+    _report(app, task, locate_error(error), details)
+
+
+def handle_loop_failures(app: Application) -> None:
+    """Report the errors that reach the running event loop, such as those of its callbacks."""
+    asyncio.get_running_loop().set_exception_handler(partial(_report_loop_failure, app))
+
+
+def _report_loop_failure(
+    app: Application, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+) -> None:
+    error = context.get("exception")
+    if error is None:
+        _report(app, _LOOP, {"error": context["message"], "trace": ""}, {})
+        return
+    report_failure(app, _LOOP, error)
+
+
+def _report(app: Application, task: str, error: dict[str, str], details: dict[str, object]) -> None:
     app.measurements.count("task_failures", task=task)
     app.events.write_spaced(
         TASK_FAILED,
-        f"{task} {type(error).__name__}",
+        f"{task} {error['error']}",
         TASK_LOG_INTERVAL_MS,
         task=task,
-        **locate_error(error),
+        **error,
         **details,
     )
 
--- a/tests/site/test_logged_errors.py
+++ b/tests/site/test_logged_errors.py
@@ -1,5 +1,6 @@
 """Tests of what the log says of unexpected errors, whose text may quote what others have sent."""
 
+from pathlib import Path
 from unittest.mock import AsyncMock, patch
 
 import pytest
@@ -10,8 +11,21 @@
 from burdockrun_statements import Statement, StatementKind
 
 from tests.site.common import SERVICE, async_deploy, error_of, read_events
+from tests.site.processes import start_gateway
 
 SENT = "text that others have sent"
+# Raises in a callback of the event loop, as a protocol may that receives something odd.
+RAISING_CALLBACK = f"""
+import asyncio
+from burdockrun_gateway import Gateway
+start = Gateway.start
+def receive():
+    raise KeyError({SENT!r})
+def start_and_receive(gateway):
+    start(gateway)
+    asyncio.get_running_loop().call_soon(receive)
+Gateway.start = start_and_receive
+"""
 
 
 async def test_an_error_at_a_statement_is_logged_without_its_text(
@@ -76,3 +90,15 @@
         assert event["call"] == "unregister"
         assert event["error"] == logged
         assert SENT not in caplog.text
+
+
+def test_an_error_that_reaches_the_event_loop_is_logged_without_its_text(tmp_path: Path) -> None:
+    """Guards against a log that quotes messages of others in an error that nothing handles."""
+    with start_gateway(tmp_path, prelude=RAISING_CALLBACK) as gateway:
+        gateway.wait_until_started()
+        assert gateway.stop() == 0
+        assert SENT not in gateway.output + gateway.errors
+        (event,) = gateway.list_events("gateway_task_failed")
+        assert event["task"] == "event loop"
+        assert event["error"] == "KeyError"
+        assert str(event["trace"]).endswith(" receive")
