Take no primary lease from a listing that may lack changes before the registration

A node that registers while it lists for the first time may read the group record before a change and its own registration after it. The holder of the promotion lease does not wait for a node that was not there when it wrote the change, yet the node takes a primary lease by the older record for up to 1.5 s from its listing, and by reports if it loses the store then. Change: a registration counts, for both leases, once the copy has all changes up to its revision.

--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -567,13 +567,14 @@
         """Return whether changes of primaries wait for this process also without a registration.
 
         A key in `present` of an earlier process may be removed by the last call of that one, which
-        may be executed late. In a later era of the store, the key is written again by others.
+        may be executed late. Changes before the own key was written did not wait for this process,
+        so the copy must have them. In a later era of the store, the key is written again by others.
         """
         if self._node not in self.present or self._registered is None:
             return False
         era, revision = self._registered
         is_own = self._presence_revisions.get(self._node, 0) >= revision
-        return is_own or era != self.store_copy.era
+        return (is_own and revision <= self.store_copy.as_of) or era != self.store_copy.era
 
     def _was_written_by_node(self, item: Item) -> bool:
         """Return whether a node may have written a key in `present`; nodes leave it empty.
@@ -708,7 +709,10 @@
                 run_guarded(self._app, "position", learn, shared, sent_ms, service=group.service)
 
     def _handle_confirmed(self, sent_ms: int) -> None:
-        if self._node_key in self.store_copy.items:
+        self._update_use_of_reports()
+        item = self.store_copy.items.get(self._node_key)
+        # A listing of several pages may have the registration, but not the changes before it.
+        if item is not None and item.revision <= self.store_copy.as_of:
             era = self.store_copy.era
             for service, group in self.groups.items():
                 confirm = partial(group.confirm_record, is_listed=self.is_record_listed(service))
--- a/tests/site/test_late_calls.py
+++ b/tests/site/test_late_calls.py
@@ -1,12 +1,15 @@
 """Tests of calls to the store that are executed after the process that sent them has ended."""
 
 import asyncio
+from dataclasses import replace
+from typing import Any
 from unittest.mock import patch
 
 import pytest
 from burdockrun_base import SystemClock
 from burdockrun_gateway import Gateway
 from burdockrun_gateway.const import (
+    GROUPS_PREFIX,
     NODES_PREFIX,
     PRESENCE_PREFIX,
     RELEASE_TRIES,
@@ -14,11 +17,12 @@
 )
 from burdockrun_gateway.group import Group
 from burdockrun_gateway.leases import LeasedKey
-from burdockrun_gateway.records import dump_suspicion
+from burdockrun_gateway.records import dump_group, dump_suspicion
+from burdockrun_gateway.supervisor import Supervisor
 from burdockrun_groups import Suspicion
 from burdockrun_site.http import HttpFault
 from burdockrun_site.store import PlatformStore
-from result import Err
+from result import Err, Ok
 
 from tests.site.common import SERVICE, Deployment, async_deploy, error_of
 from tests.site.test_lost_store_answers import COMMIT, LostAnswers
@@ -156,3 +160,51 @@
             await deployment.async_wait_until(
                 lambda: (key in deployment.store.entries) == (late == "withdrawal"), CORRECTED_S
             )
+
+
+async def test_a_node_that_registers_during_its_first_listing_learns_of_earlier_changes() -> None:
+    """Guards against a primary lease of a node that no change waits for, by an older record.
+
+    Pages of a listing are no snapshot: that of the group record is read before a change, that of
+    the registration after it.
+    """
+    async with async_deploy(gateways=2) as deployment:
+        await asyncio.sleep(LEFT_S)
+        known = deployment.gateways[0].directory.groups[SERVICE].primary_lease.record
+        assert known is not None
+        vacant = replace(known, primary="", epoch=known.epoch + 1, previous="a", promoted=False)
+        has_record, is_changed, is_registered = (asyncio.Event() for _ in range(3))
+        started = await deployment.async_add_gateway("node-3")
+        store = started.directory.store_copy._store
+        assert isinstance(store, PlatformStore)
+        async_call = store._http.async_call
+
+        async def async_hold(method: str, target: str, **named: Any) -> Any:
+            if "kv-watch" in target:
+                await asyncio.sleep(LATE_S)
+                return Err(HttpFault.NO_RESPONSE)
+            if "kv-txn" in target:
+                await is_changed.wait()
+            answered = await async_call(method, target, **named)
+            body = answered.ok_value.body if isinstance(answered, Ok) else b""
+            if "kv-range" in target and GROUPS_PREFIX.encode() in body:
+                has_record.set()
+                await is_registered.wait()
+            return answered
+
+        store._http.async_call = async_hold  # type: ignore[method-assign]
+        await has_record.wait()
+        with patch.object(Supervisor, "_check_groups"):
+            deployment.store.put(GROUPS_PREFIX + SERVICE, dump_group(vacant))
+            revision = deployment.store.revision
+            await deployment.async_wait_until(
+                lambda: deployment.gateways[0].directory.all_stopped(vacant, revision)
+            )
+            is_changed.set()
+            key = PRESENCE_PREFIX + "node-3"
+            await deployment.async_wait_until(lambda: key in deployment.store.entries)
+            is_registered.set()
+            await deployment.async_wait_until(lambda: key in started.directory.store_copy.items)
+            lease = started.directory.groups[SERVICE].primary_lease
+            assert lease.primary(SystemClock().now_ms()) == ""
+            assert not lease.may_use_reports
