Look again at a node's own suspicion that is listed ahead of the copy

Cause: a change of the listed suspicion was looked at once, and dropped if the copy was older than the node's last answered report. A page of a listing may have a report that was executed late and is newer than the revision of the copy; nothing lists it again when the copy catches up. A sound primary then stays suspected by that node, or a lost one is not, until its suspicion changes. Change: such a change is kept until the copy has the node's last report.

--- a/libs/gateway/burdockrun_gateway/state_reporter.py
+++ b/libs/gateway/burdockrun_gateway/state_reporter.py
@@ -62,14 +62,13 @@
         A report without an answer, also of an earlier process, may be executed after later ones.
         """
         as_of = self._directory.store_copy.as_of
-        changed, self._directory.own_suspicions_changed = (
-            self._directory.own_suspicions_changed,
-            set(),
-        )
-        for service in changed:
-            if as_of >= self._revisions.get(service, 0):
-                listed = self._directory.suspicions.get(service, {})
-                self._suspected[service] = listed.get(self._node, "")
+        changed = self._directory.own_suspicions_changed
+        known = {one for one in changed if as_of >= self._revisions.get(one, 0)}
+        # The others are looked at again once the copy has this node's last report of them.
+        changed -= known
+        for service in known:
+            listed = self._directory.suspicions.get(service, {})
+            self._suspected[service] = listed.get(self._node, "")
 
     async def _async_report(self, service: str, group: Group) -> None:
         record = group.primary_lease.record
--- a/tests/site/test_late_calls.py
+++ b/tests/site/test_late_calls.py
@@ -162,6 +162,26 @@
             )
 
 
+async def test_a_late_report_that_is_listed_ahead_of_the_copy_is_corrected() -> None:
+    """Guards against a sound primary that stays suspected since the copy had been too old to tell.
+
+    A page of a listing may have a report that is newer than the revision of the copy, and the copy
+    may be older than the node's last answered report.
+    """
+    async with async_deploy(gateways=2) as deployment:
+        gateway = deployment.gateways[1]
+        key = f"{SUSPECTS_PREFIX}{SERVICE}/node-2"
+        value = dump_suspicion(Suspicion(node="node-2", service=SERVICE, member="a"))
+        later = deployment.store.revision + 2
+        gateway._reports._revisions[SERVICE] = later
+        deployment.store.put(key, value)
+        await deployment.async_wait_until(lambda: key in gateway.directory.store_copy.items)
+        await asyncio.sleep(0.2)
+        assert gateway.directory.store_copy.as_of < later
+        deployment.register_member(deployment.members["b"])
+        await deployment.async_wait_until(lambda: key not in deployment.store.entries, CORRECTED_S)
+
+
 async def test_a_node_that_registers_during_its_first_listing_learns_of_earlier_changes() -> None:
     """Guards against a primary lease of a node that no change waits for, by an older record.
 
