Keep replicas paused long enough also after the primary has stepped down

Cause: a planned change resumed the replicas as soon as the successor led, at least 1.6 s after the pause with a node that has not acknowledged, though a report counts until the node has not heard of the replica for 2.4 s. The reason given, that the previous primary says that it does not lead, does not hold once it has started again and leads its old term. A node without the store that missed the pause for want of answers, and cannot reach the successor, then wrote at the previous primary (ONE). Change: the pause lasts MIN_PAUSE_MS from the answers to PAUSE, as after a primary that could not be stopped.

--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -288,13 +288,12 @@
             await self._async_end_leases(group, record, paused, stepped_down=False)
             succession = await self._successor_search.async_find(group, record, paused, None)
         else:
-            # Nobody can use the previous primary by reports, as it says that it does not lead.
-            self._resume_after_ms[group.service] = self._app.clock.now_ms()
             succession = await self._successor_search.async_find(
                 group, record, paused, final_position
             )
             # Until the successor leads, the previous primary would lead again after a restart.
             paused = await async_ask_members(group, record.previous, _build_pause(record))
+            self._resume_after_ms[group.service] = self._app.clock.now_ms() + MIN_PAUSE_MS
             await self._async_end_leases(group, record, paused, stepped_down=True)
         assigned = await self._async_assign(group, record, succession)
         await self._async_promote(group, assigned)
--- a/tests/site/test_supervision.py
+++ b/tests/site/test_supervision.py
@@ -20,7 +20,14 @@
 from burdockrun_gateway.records import dump_ack
 from burdockrun_gateway.successors import StepFailedError
 from burdockrun_gateway.supervisor import Supervisor
-from burdockrun_groups import PRIMARY_LEASE_MARGIN_MS, PRIMARY_LEASE_MS, GroupRecord, Reason
+from burdockrun_groups import (
+    PRIMARY_LEASE_MARGIN_MS,
+    PRIMARY_LEASE_MS,
+    GroupRecord,
+    PrimaryLease,
+    Reason,
+    StatusReport,
+)
 from burdockrun_site.store import PlatformPromotionClient
 from result import Err, Ok
 
@@ -449,6 +456,41 @@
         assert error_of(answer) != "" or answer[-1].startswith("READY I 2.")
 
 
+async def test_a_short_pause_does_not_let_a_primary_that_leads_again_be_used() -> None:
+    """Guards against a write at a primary that stepped down and leads its old term again.
+
+    A node without the store does not hear of the replicas while they are paused, nor of the
+    successor later. It hears of one replica again at an interval that no pause may end within.
+    """
+    async with async_deploy(gateways=3) as deployment:
+        await asyncio.sleep(1.0)
+        inside = find_other_node(deployment)
+        client = await deployment.async_connect("urgent", inside)
+        group = deployment.gateways[inside].directory.groups[SERVICE]
+        for task in deployment.gateways[inside]._tasks.tasks[:-1]:
+            task.cancel()
+        await deployment.async_wait_until(lambda: group.primary_lease.basis(now_ms()) == "reports")
+        members, add_report = deployment.members, PrimaryLease.add_report
+
+        def add_heard(
+            lease: PrimaryLease, member_id: str, report: StatusReport, received_ms: int
+        ) -> None:
+            is_cut_off = member_id == "c" and "PAUSE" in members["c"].controls
+            if lease is not group.primary_lease or not (is_cut_off or report.status.held_term):
+                add_report(lease, member_id, report, received_ms)
+
+        with patch.object(PrimaryLease, "add_report", add_heard):
+            deployment.register_member(members["a"], state="draining")
+            await deployment.async_wait_until(lambda: "STEPDOWN" in members["a"].controls)
+            members["a"].primary, members["a"].term = True, 1
+            await deployment.async_wait_until(lambda: members["c"].primary, 12.0)
+            end_ms = now_ms() + PRIMARY_LEASE_MS
+            while now_ms() < end_ms:
+                answer = await client.async_query("WRITE ward v1")
+                assert error_of(answer) != "" or answer[0].startswith("COMPLETE c-")
+                await asyncio.sleep(0.01)
+
+
 async def test_members_that_lapsed_are_counted_until_no_node_can_count_them() -> None:
     """Guards against a promotion beside the primary of a majority that is cut off from the store.
 
