Count the pause of replicas from the change that it belongs to

Cause: a holder kept the time from which replicas may be resumed by service only. If it lost the promotion lease during a change that another holder completed, the time stayed; as a later holder that goes on with another one's named successor it resumed the replicas at once, though a node without the store may have missed their pause and counts them for the previous primary (ONE). Change: the time names the record for which members were paused; without one for this change the full pause is kept. Result: test_a_holder_that_goes_on_for_another_one_does_not_resume_replicas_at_once: two of two runs fail before (resumed after 1 ms), three of three pass after (2.5 s and more).

--- a/libs/gateway/burdockrun_gateway/supervisor.py
+++ b/libs/gateway/burdockrun_gateway/supervisor.py
@@ -80,8 +80,9 @@
         self._successor_search = SuccessorSearch(app, directory)
         self._acknowledging = AcknowledgingSearch(app, directory)
         self._running: dict[str, asyncio.Task[None]] = {}
-        # By service, when the members that this holder has paused may be resumed.
-        self._resume_after_ms: dict[str, int] = {}
+        # By service, the record for which this holder has paused members, and when these may be
+        # resumed. Another holder may have completed that change and begun the next one.
+        self._resume_after_ms: dict[str, tuple[tuple[int, int], int]] = {}
         self._failures = 0
         self._check_failures = CheckFailures()
 
@@ -293,7 +294,7 @@
             )
             # Until the successor leads, the previous primary would lead again after a restart.
             paused = await async_ask_members(group, record.previous, _build_pause(record))
-            self._resume_after_ms[group.service] = self._app.clock.now_ms() + MIN_PAUSE_MS
+            self._note_paused(group, record)
             await self._async_end_leases(group, record, paused, stepped_down=True)
         assigned = await self._async_assign(group, record, succession)
         await self._async_promote(group, assigned)
@@ -461,12 +462,17 @@
         majority must therefore answer.
         """
         statuses = await async_ask_members(group, record.previous, _build_pause(record))
-        self._resume_after_ms[group.service] = self._app.clock.now_ms() + MIN_PAUSE_MS
+        self._note_paused(group, record)
         statuses = await async_stop_leaders(group, record, statuses)
         if not is_majority_paused(statuses, group.primary_lease.members, record.previous):
             raise StepFailedError("no majority of the members can be paused")
         return statuses
 
+    def _note_paused(self, group: Group, record: GroupRecord) -> None:
+        """Note that members are paused for a record without a primary at least from now on."""
+        resume_ms = self._app.clock.now_ms() + MIN_PAUSE_MS
+        self._resume_after_ms[group.service] = (record.version(), resume_ms)
+
     async def _async_check_pause(
         self, group: Group, record: GroupRecord, paused: Mapping[str, MemberStatus]
     ) -> dict[str, MemberStatus]:
@@ -598,10 +604,10 @@
         A member that is resumed no longer tells of the pause. While a node may not know of the
         change, the pause therefore lasts long enough to be noticed by all that may use reports.
         """
-        resume_ms = self._resume_after_ms.setdefault(
-            group.service, self._app.clock.now_ms() + MIN_PAUSE_MS
-        )
         vacant = replace(record, epoch=record.epoch - 1)
+        if self._resume_after_ms.get(group.service, ((0, 0), 0))[0] != vacant.version():
+            self._note_paused(group, vacant)
+        _, resume_ms = self._resume_after_ms[group.service]
         while self._app.clock.now_ms() < resume_ms:
             if not self._directory.find_unacknowledged(vacant):
                 break
--- a/tests/site/test_supervision.py
+++ b/tests/site/test_supervision.py
@@ -15,12 +15,14 @@
     PRESENCE_PREFIX,
     PREVIOUS_PRIMARY_STOPPED,
 )
+from burdockrun_gateway.directory import Directory
 from burdockrun_gateway.group import Group
 from burdockrun_gateway.ports import Item, StoreFault
 from burdockrun_gateway.records import dump_ack
 from burdockrun_gateway.successors import StepFailedError
 from burdockrun_gateway.supervisor import Supervisor
 from burdockrun_groups import (
+    MIN_PAUSE_MS,
     PRIMARY_LEASE_MARGIN_MS,
     PRIMARY_LEASE_MS,
     GroupRecord,
@@ -491,6 +493,33 @@
                 await asyncio.sleep(0.01)
 
 
+async def test_a_holder_that_goes_on_for_another_one_does_not_resume_replicas_at_once() -> None:
+    """Guards against a pause that a node without the store can miss, as the holders change.
+
+    The holder has begun an earlier change, which another one has completed.
+    """
+    async with async_deploy(gateways=2) as deployment:
+        await deployment.async_wait_until(
+            lambda: any(one._promotion_lease.may_promote() for one in deployment.gateways)
+        )
+        (holder,) = [one for one in deployment.gateways if one._promotion_lease.may_promote()]
+        supervisor, group = holder._supervisor, holder.directory.groups[SERVICE]
+        known = group.primary_lease.record
+        assert known is not None
+        earlier = replace(known, primary="", previous="a", epoch=known.epoch + 1, held_term=2)
+        current = replace(known, primary="c", previous="b", epoch=known.epoch + 4, held_term=3)
+        with (
+            patch.object(Supervisor, "_check_groups"),
+            patch.object(Supervisor, "_async_write", AsyncMock(return_value=current)),
+            patch.object(Directory, "find_unacknowledged", return_value=["node-3"]),
+        ):
+            await supervisor._async_pause_majority(group, earlier)
+            await asyncio.sleep(MIN_PAUSE_MS / 1000)
+            started_ms = now_ms()
+            await supervisor._async_complete(group, current, 3)
+            assert now_ms() - started_ms >= MIN_PAUSE_MS
+
+
 async def test_members_that_lapsed_are_counted_until_no_node_can_count_them() -> None:
     """Guards against a promotion beside the primary of a majority that is cut off from the store.
 
