Excuse an acknowledged write only for faults of the node that sent it

Cause: the check for writes acknowledged at a superseded primary excused every node while any fault without a node was in force (`primary_cut`, `member_crash`, `store` for all), and looked at the node that the client used instead of the one that sent the write to the member. So the soak could not show ONE during the faults that lead to it. Change: only freezes, cut links and busy processors count, of the node that sent the write to the member; members note it with each arrival. A lateness of the soak itself counts for all nodes (held up on the way). STALE was excused for no node before; two tests keep it so.

--- a/script/fault_soak/checks.py
+++ b/script/fault_soak/checks.py
@@ -34,6 +34,8 @@
 PROMISES: Final = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
 STOPS: Final = {"SIGTERM", "SIGINT"}
 PLANNED_NAMES: Final = {"config"}
+# Faults that freeze, slow or cut off the nodes that they name, or all nodes if they name none.
+HOLDING_UP: Final = {"frozen", "link_cut", "busy_neighbours", "soak_late"}
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -269,7 +271,7 @@
             continue
         if request.error in PROMISES:
             yield _at_request("REFUSED", request, f"committed after {request.error}")
-        if commit.superseded and request.succeeded and not _is_sender_excused(journal, request):
+        if commit.superseded and request.succeeded and not _is_held_up(journal, request, commit):
             yield _at_request("ONE", request, f"acknowledged at former primary {commit.member}")
         if not _is_rolled_back(commit, journal):
             effects[request.id] += 1
@@ -280,8 +282,20 @@
             yield _at_request("TWICE", journal.requests[request_id], f"took effect {count} times")
 
 
-def _is_sender_excused(journal: Journal, request: Request) -> bool:
-    return is_disturbed(journal, request.node, request.sent_s - THAW_SLACK_S, request.ended_s)
+def _is_held_up(journal: Journal, request: Request, commit: Committed) -> bool:
+    """Return whether the node that sent a write to the member was frozen, slowed or cut off."""
+    senders = {
+        one.sender
+        for one in journal.arrivals
+        if one.request_id == request.id and one.member == commit.member and one.sender
+    }
+    return any(
+        fault.name in HOLDING_UP
+        and fault.node in {"", *(senders or {request.node})}
+        and fault.start_s <= request.ended_s
+        and fault.end_s >= request.sent_s - THAW_SLACK_S
+        for fault in journal.faults
+    )
 
 
 @check
--- a/script/fault_soak/journal.py
+++ b/script/fault_soak/journal.py
@@ -53,6 +53,8 @@
 
     request_id: str
     member: str
+    # Node that has sent it to the member, if known.
+    sender: str = ""
     at_s: float
     done_s: float = ALWAYS_S
     broken: bool = False
--- a/script/fault_soak/members.py
+++ b/script/fault_soak/members.py
@@ -228,7 +228,12 @@
             await self._async_wait_heard()
             self._write(writer, session, self._execute(session, request_id, text))
             return True
-        arrival = Arrival(request_id=request_id, member=self.id, at_s=self._journal.now())
+        arrival = Arrival(
+            request_id=request_id,
+            member=self.id,
+            sender=session.caller,
+            at_s=self._journal.now(),
+        )
         self._journal.arrivals.append(arrival)
         arrival.broken = self.silent
         await self._async_wait_heard()
--- a/tests/site/test_fault_soak_checks.py
+++ b/tests/site/test_fault_soak_checks.py
@@ -219,10 +219,11 @@
     add_commit(journal, request, superseded=True)
 
 
-def write_frozen(journal: Journal) -> None:
-    """Acknowledge a write at a former primary through a frozen node."""
+def write_beside(journal: Journal, name: str, node: str = "", sender: str = "n1") -> None:
+    """Acknowledge a write at a former primary, sent on by a node, while a fault is in force."""
     write_superseded(journal)
-    disturb(journal, at_s=10.9, node="n1")
+    journal.arrivals.append(Arrival(request_id="w1", member="a", sender=sender, at_s=11.0))
+    journal.faults.append(Fault(name=name, node=node, planned=False, start_s=10.9, end_s=11.4))
 
 
 def lose_commit(journal: Journal, sync_replicas: int) -> None:
@@ -311,6 +312,16 @@
         lambda j: read_stale(j, session="s2", began_s=15.1),
     ),
     "write at a former primary": ("ONE", write_superseded),
+    "write at a primary that is cut off": ("ONE", lambda j: write_beside(j, "primary_cut")),
+    "write beside a crash of a member": ("ONE", lambda j: write_beside(j, "member_crash")),
+    "write while the store is away": ("ONE", lambda j: write_beside(j, "store")),
+    "write beside another frozen node": ("ONE", lambda j: write_beside(j, "frozen", "n2")),
+    "write of a node that only received it": (
+        "ONE",
+        lambda j: write_beside(j, "frozen", "n1", sender="n2"),
+    ),
+    "old read while a node is frozen": ("STALE", lambda j: read_stale(disturb(j, 12.9, "n1"))),
+    "old read while anything is disturbed": ("STALE", lambda j: read_stale(disturb(j, 12.9))),
     "route is not served": ("CONFIG", check_route),
     "use of a draining member": ("DRAIN", lambda j: use_drained(j, 12.5)),
     "nothing is served after an end of all nodes": ("RECOVER", end_all),
@@ -338,7 +349,11 @@
     "bounded read, 2 s old": lambda j: read_stale(j, kind="bounded", began_s=14.0),
     "read of another session, 2 s old": lambda j: read_stale(j, session="s2", began_s=14.0),
     "read that began before": lambda j: read_stale(j, began_s=11.5),
-    "frozen sender": write_frozen,
+    "frozen sender": lambda j: write_beside(j, "frozen", "n1"),
+    "frozen sender of another node's client": lambda j: write_beside(j, "frozen", "n2", "n2"),
+    "sender without a path to the member": lambda j: write_beside(j, "link_cut", "n1"),
+    "sender beside busy processes": lambda j: write_beside(j, "busy_neighbours"),
+    "write held up by this program": lambda j: write_beside(j, "soak_late"),
     "route is served": lambda j: check_route(j, "READY I -"),
     "route asked of a node that has just started": lambda j: check_route(start(j)),
     "use of a member that drains since 6 s": lambda j: use_drained(j, 11.0),
