Give each run of the fault soak ports and addresses of its own

Cause: ports and readiness addresses of the nodes came from the seeded source. Two runs of one seed at once chose the same; a port of a node that was down looked free to the other run, and nodes of both took each other for peers. Change: a block of four ports is kept by a socket on a loopback address that follows from the block, for as long as the run lasts, and is chosen from a source that the seed does not touch.

--- a/script/fault_soak/processes.py
+++ b/script/fault_soak/processes.py
@@ -11,6 +11,7 @@
 import sys
 import sysconfig
 import tomllib
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Final
@@ -73,8 +74,9 @@
         # Nodes know each other by address and connect from 127.0.0.1; the metrics port is the same
         # for all, so each has a readiness address of its own.
         self.host = "127.0.0.1"
-        self.ready_host = f"127.{random.randint(2, 250)}.{random.randint(2, 250)}.{index + 2}"
-        self.port, self.peer_port = find_ports(4)
+        self._ports = PortBlock()
+        self.ready_host = self._ports.host
+        self.port, self.peer_port = self._ports.first, self._ports.first + 2
         self.ready_port = self.port + 1
         self.life = 0
         self.started_s = 0.0
@@ -200,12 +202,24 @@
         return "\n".join(lines) + "\n"
 
 
-def find_ports(count: int) -> tuple[int, int]:
-    """Return the first port of two halves of a block of ports that are free for TCP and UDP."""
-    while True:
-        first = random.randrange(12_000, 31_000, count)
-        if all(_is_free(first + offset) for offset in range(count)):
-            return first, first + count // 2
+class PortBlock:
+    """Block of four ports that are free on 127.0.0.1, with a loopback address of its own.
+
+    No other run gets it while this one keeps it. Nodes that are started again need the same ports.
+    """
+
+    def __init__(self) -> None:
+        # The source of the seed is the same in another run of the seed.
+        source = random.SystemRandom()
+        while True:
+            self.first = source.randrange(12_000, 31_000, 4)
+            self.host = f"127.{self.first // 250}.{self.first % 250 + 1}.250"
+            self._lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            with suppress(OSError):
+                self._lock.bind((self.host, self.first))
+                if all(_is_free(self.first + offset) for offset in range(4)):
+                    return
+            self._lock.close()
 
 
 def _is_free(port: int) -> bool:
--- a/tests/site/test_fault_soak.py
+++ b/tests/site/test_fault_soak.py
@@ -1,14 +1,17 @@
 """Tests of gateways as real processes under faults from outside."""
 
 import asyncio
+import random
 import subprocess
 import sys
 from pathlib import Path
 from random import Random
+from unittest.mock import patch
 
 from script.fault_soak.faults import FAULTS, build_schedule
 from script.fault_soak.journal import Journal
 from script.fault_soak.members import SoakMember
+from script.fault_soak.processes import Checkout, GatewayProcess
 from tests.site.store import FakeStore
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -41,6 +44,30 @@
     assert played == set(FAULTS)
 
 
+def build_gateway(folder: Path) -> GatewayProcess:
+    """Return a node as a run chooses it at its start."""
+    random.seed(SEED)
+    checkout = Checkout(root=ROOT, from_sources=True)
+    return GatewayProcess(checkout, folder, Journal(), 0, 1)
+
+
+def test_runs_of_the_same_seed_use_addresses_of_their_own(tmp_path: Path) -> None:
+    """Guards against two runs at once whose nodes take each other for peers."""
+    first = build_gateway(tmp_path)
+    expected = random.random()
+    second = build_gateway(tmp_path)
+    assert random.random() == expected
+    assert first.port != second.port and first.ready_host != second.ready_host
+
+
+def test_ports_that_another_run_has_chosen_are_not_free(tmp_path: Path) -> None:
+    """Guards against runs that choose the same ports while no process listens there."""
+    twice = [port for port in range(12_000, 31_000, 4) for _ in range(2)]
+    with patch.object(random.SystemRandom, "randrange", side_effect=twice):
+        first, second = build_gateway(tmp_path), build_gateway(tmp_path)
+    assert first.port != second.port
+
+
 def build_group(journal: Journal) -> tuple[SoakMember, SoakMember]:
     """Return a primary and a replica, without a network."""
     store = FakeStore(lambda member_id: True)
