Let the fault soak execute the last writes of a node in its next life

A node that was started again hardly got clients: they kept their sessions elsewhere. Change: two faults. `primary_lost` cuts the primary off from all nodes but one. `late_calls` stops a node, executes its writes of that time 3.5 to 5.5 s late without an answer, takes the store from its next process and then cuts the primary off from the others. A node without the store gets no answers to calls under way either. Clients open their sessions anew after 2 to 12 s. `--fault` begins the schedule with a fault. Members drop connections that they do not hear after 3 s, not 30.

--- a/script/fault_soak/clients.py
+++ b/script/fault_soak/clients.py
@@ -13,6 +13,8 @@
 
 CONNECT_S: Final = 2.0
 DEADLINE_S: Final = 3.0
+# Age at which a client opens its session anew, so that a node that is back gets clients.
+SESSION_S: Final = (2.0, 12.0)
 # Shapes of a read and a write; several begin with another one, or hold words of the protocol.
 READ_SHAPES: Final = ("q1a", "q1a READ ii", "q1a WRITE ii", " q1a", "READ q1a")
 WRITE_SHAPES: Final = ("q1a", "q2b", "q2b WRITE ii", "q2b  ", "WRITE q2b READ q1a")
@@ -53,6 +55,7 @@
         self.state = "I"
         self.transaction: Request | None = None
         self._opened = 0
+        self._closes_s = 0.0
         self._journal: Journal = deployment.journal
         self._counts: dict[str, int] = {}
         self._reader: asyncio.StreamReader | None = None
@@ -69,7 +72,7 @@
             while True:
                 try:
                     await act(self)
-                    if self.state != "I":
+                    if self.state != "I" or self._journal.now() > self._closes_s:
                         self.close()
                 except ClosedError:
                     self.close()
@@ -82,6 +85,7 @@
         self.node = node or self.deployment.choose_gateway()
         self.state, self.values, self.transaction = "I", {}, None
         self._opened += 1
+        self._closes_s = self._journal.now() + random.uniform(*SESSION_S)
         try:
             async with asyncio.timeout(CONNECT_S):
                 self._reader, self._writer = await asyncio.open_connection(
--- a/script/fault_soak/faults.py
+++ b/script/fault_soak/faults.py
@@ -340,6 +340,55 @@
         await asyncio.sleep(FOLLOW_S)
 
 
+async def async_lose_primary(deployment: Deployment, nodes: list[str], seconds: float) -> None:
+    """Let nodes lose their paths to the primary for a while."""
+    primary = deployment.find_primary()
+    noted = [deployment.begin_fault("link_cut", node) for node in nodes]
+    primary.lost_by = set(nodes)
+    await asyncio.sleep(seconds)
+    primary.lost_by = set()
+    for one in noted:
+        deployment.end_fault(one)
+
+
+@fault("primary_lost", 2, planned=False)
+async def lose_primary(deployment: Deployment, rng: Random) -> None:
+    """Cut the primary off from all nodes but one."""
+    spared, seconds = choose(deployment, rng), rng.uniform(1.0, 8.0)
+    async with take(deployment, "members") as free:
+        if free:
+            nodes = [one.name for one in deployment.gateways if one is not spared]
+            await async_lose_primary(deployment, nodes, seconds)
+
+
+@fault("late_calls", 4, planned=False)
+async def end_with_late_calls(deployment: Deployment, rng: Random) -> None:
+    """Execute the last writes of a node in its next life, which has lost the store by then.
+
+    The other nodes lose the primary afterwards.
+    """
+    gateway, store = choose(deployment, rng), deployment.store
+    late_s, pause_s, lost_s = rng.uniform(3.5, 5.5), rng.uniform(1.0, 3.0), rng.uniform(3.0, 6.0)
+    known_s = rng.uniform(0.2, 1.0)
+    entries, key = store.entries, f"burdockrun/nodes/{gateway.name}"
+    async with take(deployment, "store") as has_store, take(deployment, "members") as has_members:
+        if not (has_store and has_members):
+            return
+        life = gateway.life
+        store.late_s = {gateway.name: late_s}
+        gateway.send(signal.SIGTERM)
+        await async_wait_until(lambda: gateway.life != life)
+        store.late_s = {}
+        due_s, begun = deployment.journal.now() + late_s, store.revision
+        await async_wait_until(lambda: key in entries and entries[key].revision > begun, late_s)
+        await asyncio.sleep(known_s)
+        store.modes = {gateway.name: "away"}
+        await asyncio.sleep(due_s + pause_s - deployment.journal.now())
+        nodes = [one.name for one in deployment.gateways if one is not gateway]
+        await async_lose_primary(deployment, nodes, lost_s)
+        store.modes = {}
+
+
 @fault("answers_lost", 2, planned=False)
 async def lose_answers(deployment: Deployment, rng: Random) -> None:
     """Let members lose answers to statements that they have run."""
--- a/script/fault_soak/members.py
+++ b/script/fault_soak/members.py
@@ -12,7 +12,8 @@
 BEAT_S = 1.2
 LAPSE_S = 3 * BEAT_S
 FOLLOW_S = 1.0
-SILENCE_S = 30.0
+# After this time a member drops a connection whose other end it does not reach.
+SILENCE_S = 3.0
 DATA_WORDS = {"READ", "WRITE", "EXECUTE", "COMMIT"}
 _connections = itertools.count(1)
 
@@ -29,6 +30,8 @@
         self.deaf = False
         # Without a path to the store and to the other members.
         self.cut = False
+        # Nodes without a path to this member.
+        self.lost_by: set[str] = set()
         self.lost_answers = 0
         self.work_s = 0.009
         self.lag_s = 0.02
@@ -191,7 +194,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         fields = (await reader.readuntil(b"\r\n")).decode().split()
-        await self._async_wait_heard()
+        await self._async_wait_heard(fields[2])
         if (
             fields[0] != "CONNECT"
             or fields[1] != self.service
@@ -211,8 +214,8 @@
         finally:
             del self._places[id(session)]
 
-    async def _async_wait_heard(self) -> None:
-        if self.silent:
+    async def _async_wait_heard(self, caller: str) -> None:
+        if self.silent or caller in self.lost_by:
             await asyncio.sleep(SILENCE_S)
             raise ConnectionAbortedError
 
@@ -225,7 +228,7 @@
         _, request_id, text = line.split(" ", 2)
         word = text.split(" ")[2 if text.startswith("AFTER ") else 0]
         if word not in DATA_WORDS:
-            await self._async_wait_heard()
+            await self._async_wait_heard(session.caller)
             self._write(writer, session, self._execute(session, request_id, text))
             return True
         arrival = Arrival(
@@ -236,7 +239,7 @@
         )
         self._journal.arrivals.append(arrival)
         arrival.broken = self.silent
-        await self._async_wait_heard()
+        await self._async_wait_heard(session.caller)
         born_ms = self._born_ms
         async with self._slots:
             await asyncio.sleep(self.work_s)
@@ -247,7 +250,7 @@
         is_received = True
         if self._journal.sync_replicas and len(self.log) > size:
             is_received = await self._async_wait_received(len(self.log))
-        await self._async_wait_heard()
+        await self._async_wait_heard(session.caller)
         if self.lost_answers > 0 or not is_received:
             self.lost_answers = max(0, self.lost_answers - 1)
             arrival.broken = True
--- a/script/fault_soak/program.py
+++ b/script/fault_soak/program.py
@@ -14,7 +14,7 @@
 from script.fault_soak.clients import start_clients
 from script.fault_soak.deployment import Deployment, async_wait_until
 from script.fault_soak.endings import ENDINGS
-from script.fault_soak.faults import Planned, async_play, build_schedule
+from script.fault_soak.faults import FAULTS, Planned, async_play, build_schedule
 from script.fault_soak.journal import Journal
 from script.fault_soak.processes import GRACE_S, Checkout
 
@@ -36,6 +36,7 @@
     parser.add_argument("--seconds", type=float, default=30.0, help="time in which faults begin")
     parser.add_argument("--gateways", type=int, default=0, help="number; 0 lets the seed choose")
     parser.add_argument("--ending", choices=list(ENDINGS), help="default: the seed chooses")
+    parser.add_argument("--fault", choices=list(FAULTS), help="begin the schedule with this fault")
     parser.add_argument("--root", type=Path, default=ROOT, help="checkout whose gateways run")
     parser.add_argument("--sources", action="store_true", help="run the sources, not target/deps")
     parser.add_argument(
@@ -104,6 +105,8 @@
     gateways = options.gateways or rng.choice([2, 3, 3, 4, 5])
     journal = Journal(sync_replicas=rng.choice([0, 0, 1]))
     schedule = build_schedule(rng, options.seconds)
+    if options.fault:
+        schedule.insert(0, Planned(at_s=0.0, name=options.fault, seed=rng.getrandbits(32)))
     ending = options.ending or rng.choice(list(ENDINGS))
     if options.plan:
         print(f"gateways={gateways}", *schedule, f"ending={ending}", sep="\n")
--- a/script/fault_soak/store.py
+++ b/script/fault_soak/store.py
@@ -24,6 +24,8 @@
         self.page_items = 500
         # Fault by node; an empty name stands for all nodes.
         self.modes: dict[str, str] = {}
+        # Nodes whose writes are executed only after this time, and not answered.
+        self.late_s: dict[str, float] = {}
         self._nodes: dict[int, str] = {}
 
     async def async_open_address(self, node: str) -> int:
@@ -57,7 +59,15 @@
             case "garbage":
                 return web.Response(body=random.choice(GARBAGE), content_type="application/json")
         try:
-            return await handler(request)
+            late_s = self.late_s.get(node, 0.0)
+            if late_s and request.path == "/-/kv-txn":
+                await request.read()
+                request.transport.abort()
+                await asyncio.sleep(late_s)
+            response = await handler(request)
+            if self.modes.get(node) == "away":
+                await asyncio.sleep(SILENT_S)
+            return response
         except ConnectionError:
             # The node ended before its call had arrived in full.
             raise web.HTTPServiceUnavailable from None
--- a/tests/site/test_fault_soak.py
+++ b/tests/site/test_fault_soak.py
@@ -8,10 +8,14 @@
 from random import Random
 from unittest.mock import patch
 
+import aiohttp
+import pytest
+
 from script.fault_soak.faults import FAULTS, build_schedule
 from script.fault_soak.journal import Journal
 from script.fault_soak.members import SoakMember
 from script.fault_soak.processes import Checkout, GatewayProcess
+from script.fault_soak.store import SoakStore
 from tests.site.store import FakeStore
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -114,3 +118,41 @@
     assert journal.leads[0].kept == {"w1"}
     old.follow(new)
     assert [one.request_id for one in old.log] == ["w1"] and not old.primary
+
+
+async def test_a_late_write_gets_no_answer_and_is_executed() -> None:
+    """Guards against a stand-in that never executes the last calls of a process after its end."""
+    store = SoakStore(lambda member_id: True)
+    await store.async_start()
+    port = await store.async_open_address("front-1")
+    store.late_s = {"front-1": 0.3}
+    fields = {"Expected": [], "Writes": [{"Key": "k", "Value": ""}], "Remove": []}
+    async with aiohttp.ClientSession(f"http://127.0.0.1:{port}") as session:
+        with pytest.raises(aiohttp.ClientConnectionError):
+            await session.post("/-/kv-txn", json=fields)
+        store.late_s = {}
+        assert "k" not in store.entries
+        await asyncio.sleep(0.5)
+        assert "k" in store.entries
+        assert (await session.post("/-/kv-txn", json=fields)).status == 200
+    await store.async_stop()
+
+
+async def test_a_node_that_has_lost_a_member_reaches_it_no_more() -> None:
+    """Guards against a stand-in that still runs statements of a node without a path to it."""
+    primary, _ = build_group(Journal())
+    await primary.async_start()
+    streams = [await asyncio.open_connection("127.0.0.1", primary.port) for _ in range(2)]
+    for number, (reader, writer) in enumerate(streams):
+        writer.write(f"CONNECT wendedb front-{number} a\r\n".encode())
+        assert (await reader.readline()).startswith(b"READY")
+    primary.lost_by = {"front-1"}
+    for number, (_, writer) in enumerate(streams):
+        writer.write(f"QUERY w{number} WRITE x x.{number}\r\n".encode())
+    assert (await streams[0][0].readline()).startswith(b"COMPLETE")
+    await asyncio.sleep(0.1)
+    assert [one.request_id for one in primary.log] == ["w0"]
+    assert not streams[1][0]._buffer  # type: ignore[attr-defined]
+    for _, writer in streams:
+        writer.close()
+    await primary.async_crash()
