Test a member that drops what was set up on a connection

Cause: the stand-in answers UNKNOWN once, but keeps the name. So no test failed when the reset after it (`forgets_setup`) was left out, and a name that a member had really dropped would have stayed unknown on that connection.

Change: FakeMember.forget_before drops the values and prepared statements of a connection before a statement. Two tests let the primary drop them before an EXECUTE, outside of and within a transaction: on connections of the gateway itself, and on those of a home that serves another gateway. What runs afterwards must have its shape and its values.

--- a/tests/site/members.py
+++ b/tests/site/members.py
@@ -106,6 +106,9 @@
         # stays as it is.
         self.refuse_next: dict[str, str] = {}
         self.refuse_all: dict[str, str] = {}
+        # Drops the values and prepared statements of the connection of the next statement with a
+        # word, before it runs.
+        self.forget_before = ""
         self.silent = False
         self.delay_s = 0.0
         self.max_open_connections = 0
@@ -224,6 +227,10 @@
                 return self._fail(session, "LAGGING")
         statement = read_text(text)
         word = statement.word
+        if word == self.forget_before:
+            self.forget_before = ""
+            session.values.clear()
+            session.prepared.clear()
         refusal = self.refuse_next.pop(word, self.refuse_all.get(word))
         if refusal is not None:
             return [f"ERROR {refusal} {self.id}"]
--- a/tests/site/test_refused_setup.py
+++ b/tests/site/test_refused_setup.py
@@ -6,7 +6,15 @@
 import pytest
 from burdockrun_gateway.const import SETUP_REFUSED
 
-from tests.site.common import SERVICE, async_deploy, error_of, read_events, rows_of
+from tests.site.common import (
+    SERVICE,
+    Client,
+    Deployment,
+    async_deploy,
+    error_of,
+    read_events,
+    rows_of,
+)
 from tests.site.test_homes import async_wait_for_homes, find_home
 
 # So few connections that other gateways reach a member through its home.
@@ -150,6 +158,61 @@
         assert {run.shape for run in deployment.members["a"].executed} == {"q1 READ ii"}
 
 
+@pytest.mark.parametrize("gateways", [1, 2])
+@pytest.mark.parametrize("access", ["READ", "WRITE"])
+async def test_a_connection_whose_setup_a_member_has_dropped_is_set_up_again(
+    access: str, gateways: int
+) -> None:
+    """Guards against a name that stays unknown to a member, and against a run without values."""
+    async with async_deploy(gateways) as deployment:
+        client = await deployment.async_connect("urgent", gateways - 1)
+        await async_check_dropped_setup(deployment, client, access)
+
+
+@pytest.mark.parametrize("by_account", [False, True])
+@pytest.mark.parametrize("access", ["READ", "WRITE"])
+async def test_a_home_sets_up_a_connection_again_whose_setup_a_member_has_dropped(
+    access: str, by_account: bool
+) -> None:
+    """Guards against a home that goes on with names and values that its member has dropped."""
+    async with async_deploy(HOME_GATEWAYS, HOME_CONNECTIONS) as deployment:
+        if by_account:
+            for gateway in deployment.gateways:
+                gateway.directory.groups[SERVICE].set_limit(HOME_CONNECTIONS, by_account=True)
+        await async_wait_for_homes(deployment)
+        caller = (find_home(deployment, "a") + 1) % HOME_GATEWAYS
+        client = await deployment.async_connect("urgent", caller)
+        await async_check_dropped_setup(deployment, client, access, through_home=True)
+
+
+async def async_check_dropped_setup(
+    deployment: Deployment, client: Client, access: str, *, through_home: bool = False
+) -> None:
+    """Let the primary drop its setup before an EXECUTE, outside of and within a transaction.
+
+    The statement has not run then. A home may refuse it, and then serves the next one.
+    """
+    member = deployment.members["a"]
+    execute = "EXECUTE p1 ward" if access == "READ" else "EXECUTE p1 ward v1"
+    for text in ("SET zone nbg", f"PREPARE p1 {access} q2c", execute):
+        assert error_of(await client.async_query(text)) == ""
+    member.forget_before = "EXECUTE"
+    refused = error_of(await client.async_query(execute))
+    assert refused in ({"", "BUSY"} if through_home else {""})
+    assert error_of(await client.async_query(execute)) == ""
+    for text in ("BEGIN", execute):
+        assert error_of(await client.async_query(text)) == ""
+    member.forget_before = "EXECUTE"
+    answer = await client.async_query(execute)
+    assert error_of(answer) == "BUSY"
+    assert answer[-1].startswith("READY E")
+    for text in ("ROLLBACK", execute):
+        assert error_of(await client.async_query(text)) == ""
+    assert member.forget_before == ""
+    runs = [(one.text, one.shape, one.values) for one in member.executed]
+    assert runs == [(access, "q2c", (("zone", "nbg"),))] * (4 + (not refused))
+
+
 async def test_a_refused_prepare_is_logged_and_counted(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against a member that drops what was prepared there without anybody seeing it."""
     caplog.set_level(logging.INFO)
