Use no reports on a registration of a later era than the copy

Cause: a registration of another era than the copy's was taken for one of an earlier era, where nodes that knew it still wait for it. One of a later era may stand beside a key in present/ that only the copy of the earlier era has. Change: only a registration of an earlier era counts without a key of its own. Result: test_a_registration_of_a_later_era_does_not_count_before_the_copy_is_of_it fails before and passes after.

--- a/libs/gateway/burdockrun_gateway/directory.py
+++ b/libs/gateway/burdockrun_gateway/directory.py
@@ -574,7 +574,7 @@
             return False
         era, revision = self._registered
         is_own = self._presence_revisions.get(self._node, 0) >= revision
-        return (is_own and revision <= self.store_copy.as_of) or era != self.store_copy.era
+        return (is_own and revision <= self.store_copy.as_of) or era < self.store_copy.era
 
     def _was_written_by_node(self, item: Item) -> bool:
         """Return whether a node may have written a key in `present`; nodes leave it empty.
--- a/libs/gateway/burdockrun_gateway/leases.py
+++ b/libs/gateway/burdockrun_gateway/leases.py
@@ -141,7 +141,10 @@
         return ended and (not self._lease or await self._async_end(self._lease))
 
     async def _async_remove_own(self) -> bool:
-        """Remove the key and the lasting one, unless a later process has written them."""
+        """Remove the key and the lasting one, unless a later process has written them.
+
+        The processes of a node follow each other: no later one writes before this call ends.
+        """
         keys = [self._key, self._lasting_key]
         removed = await self._store.async_commit(self._expect_own(), [], keys)
         if removed != Err(StoreFault.CONFLICT):
--- a/tests/site/test_late_calls.py
+++ b/tests/site/test_late_calls.py
@@ -228,3 +228,14 @@
             lease = started.directory.groups[SERVICE].primary_lease
             assert lease.primary(SystemClock().now_ms()) == ""
             assert not lease.may_use_reports
+
+
+async def test_a_registration_of_a_later_era_does_not_count_before_the_copy_is_of_it() -> None:
+    """Guards against reports that are used on a key which the restored store may not have."""
+    async with async_deploy(gateways=1) as deployment:
+        directory = deployment.gateways[0].directory
+        lease = directory.groups[SERVICE].primary_lease
+        await deployment.async_wait_until(lambda: lease.may_use_reports)
+        era = directory.store_copy.era
+        directory.note_registered(directory.store_copy.as_of + 1, era + 1)
+        assert not lease.may_use_reports
