Acknowledge a commit whose group gets its first record before its answer

Cause: a COMMIT got INDOUBT without any fault. While a group has no record, a node may use the primary that the members report, and calls the leadership `a@1`. When the first record of the group is learned in the middle of a transaction, the same leadership is called `a/1.1`, and the commit, which the member has answered, is left in doubt as after a change of primary. Seen in starts of four gateways with a store that answers after 0.15 s and 4 connections to each member: in 2 of 6 starts, one COMMIT each (epoch a@1, then a/1.1); in none of 6 starts with a fast store and 16 connections.

Change: PrimaryLease.leads_still compares leaderships. The first record holds the term for which it was written, so `a@1` goes on in a record without a previous primary that names `a` for term 1, under a valid lease. A record with another primary, another term or a previous primary still ends it.

Result: seen to fail before: test_a_commit_is_not_in_doubt_since_the_group_gets_its_first_record[1, 2] (INDOUBT, 2 of 2); the tests in tests/groups had no method to call. After it: these 2 passed, tests/groups 151 passed. Not run: the rest of tests/site, the fault soak, the probe of starts.

--- a/libs/gateway/burdockrun_gateway/client_session.py
+++ b/libs/gateway/burdockrun_gateway/client_session.py
@@ -367,8 +367,10 @@
         answered_ms = self._app.clock.now_ms()
         if not group.is_primary(pool):
             await self._async_confirm(group, pool, answered_ms)
-        epoch = group.primary_lease.epoch(self._app.clock.now_ms())
-        if not group.is_primary(pool) or epoch != attempt.epoch:
+        now_ms = self._app.clock.now_ms()
+        epoch = group.primary_lease.epoch(now_ms)
+        goes_on = group.primary_lease.leads_still(attempt.epoch, now_ms)
+        if not group.is_primary(pool) or not goes_on:
             return self._local_answers.leave_in_doubt(attempt, IDLE)
         if answer.position is not None:
             group.note_commit(pool.entry.id, epoch, attempt.started_ms, answer.position)
--- a/libs/groups/burdockrun_groups/primary_lease.py
+++ b/libs/groups/burdockrun_groups/primary_lease.py
@@ -40,6 +40,11 @@
     return leader
 
 
+def _build_epoch(primary: str, term: int) -> str:
+    """Return an identifier for a leadership that no record names."""
+    return f"{primary}@{term}"
+
+
 @dataclass(kw_only=True, slots=True)
 class _Report:
     sent_ms: int
@@ -154,7 +159,23 @@
             return ""
         if self.record is not None and self.record.primary == primary:
             return self.record.leadership()
-        return f"{primary}@{self.reports[primary].status.term}"
+        return _build_epoch(primary, self.reports[primary].status.term)
+
+    def leads_still(self, epoch: str, now_ms: int) -> bool:
+        """Return whether the leadership that `epoch` has identified goes on.
+
+        One that was known by reports alone, by its term, may meanwhile have the first record of its
+        group, which says for which term it was written. No member leads the same term twice.
+        """
+        current = self.epoch(now_ms)
+        if current == epoch:
+            return current != ""
+        record = self.record
+        if record is None or record.previous or record.primary != self.primary(now_ms):
+            return False
+        return current == record.leadership() and epoch == _build_epoch(
+            record.primary, record.held_term
+        )
 
     def _primary_by_reports(self, now_ms: int) -> str:
         """Return the only member that can lead according to recent reports of a majority."""
--- a/tests/groups/test_primary_lease.py
+++ b/tests/groups/test_primary_lease.py
@@ -3,7 +3,13 @@
 from dataclasses import replace
 
 import pytest
-from burdockrun_groups import KNOWN_MEMBERS_MS, MIN_PAUSE_MS, PRIMARY_LEASE_MS, PrimaryLease
+from burdockrun_groups import (
+    KNOWN_MEMBERS_MS,
+    MIN_PAUSE_MS,
+    PRIMARY_LEASE_MS,
+    GroupRecord,
+    PrimaryLease,
+)
 from burdockrun_statements import MemberStatus
 
 from tests.groups.common import build_entry, build_record, build_report, build_status
@@ -204,3 +210,57 @@
     primary_lease.learn_record(build_record("b", 3, era=2))
     assert not primary_lease.learn_record(build_record("a", 9, era=1))
     assert primary_lease.primary(1_100) == "b"
+
+
+def build_lease_without_record() -> PrimaryLease:
+    """Return a lease by reports of term 1, before the group has a record."""
+    primary_lease = PrimaryLease()
+    primary_lease.set_members({name: build_entry(name) for name in "abc"})
+    primary_lease.confirm_members(1_000)
+    add_report(primary_lease, "a", build_status(primary=True), 1_000)
+    add_report(primary_lease, "b", build_status(), 1_000)
+    return primary_lease
+
+
+def test_the_first_record_of_a_group_starts_no_new_leadership() -> None:
+    """Guards against a commit left in doubt since the group gets its record before its answer."""
+    primary_lease = build_lease_without_record()
+    epoch = primary_lease.epoch(1_100)
+    assert primary_lease.leads_still(epoch, 1_100)
+    primary_lease.confirm_record(build_record("a", held_term=1), 1_200)
+    assert primary_lease.basis(1_200) == "record"
+    assert primary_lease.leads_still(epoch, 1_200)
+    assert primary_lease.leads_still(primary_lease.epoch(1_200), 1_200)
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        build_record("b", held_term=1),
+        build_record("a", held_term=2),
+        build_record("a", 3, previous="b", held_term=3),
+        build_record("a", 3, previous="b", held_term=1),
+        build_record("", 2, previous="a", held_term=2),
+    ],
+)
+def test_a_leadership_before_the_first_record_is_not_taken_for_another(record: GroupRecord) -> None:
+    """Guards against a commit that is acknowledged though a member without it may have led."""
+    primary_lease = build_lease_without_record()
+    epoch = primary_lease.epoch(1_100)
+    primary_lease.confirm_record(record, 1_200)
+    assert primary_lease.primary(1_200) == record.primary
+    assert not primary_lease.leads_still(epoch, 1_200)
+
+
+def test_a_leadership_does_not_go_on_when_the_lease_has_expired() -> None:
+    """Guards against a commit that is acknowledged after its node was frozen."""
+    primary_lease = build_lease_without_record()
+    epoch = primary_lease.epoch(1_100)
+    primary_lease.confirm_record(build_record("a", held_term=1), 1_200)
+    assert primary_lease.leads_still(epoch, 1_200 + PRIMARY_LEASE_MS - 1)
+    assert not primary_lease.leads_still(epoch, 1_200 + PRIMARY_LEASE_MS)
+
+
+def test_no_leadership_goes_on_without_a_lease() -> None:
+    """Guards against a write that is acknowledged without any lease, for two empty epochs."""
+    assert not PrimaryLease().leads_still("", 1_000)
--- a/tests/site/test_supervision.py
+++ b/tests/site/test_supervision.py
@@ -3,25 +3,28 @@
 import asyncio
 import time
 from dataclasses import replace
+from typing import Any
 from unittest.mock import AsyncMock, patch
 
 import pytest
 from burdockrun_base import LogPosition, SystemClock
+from burdockrun_gateway import Gateway
 from burdockrun_gateway.const import (
     ACKS_PREFIX,
     DOCUMENT_UNUSABLE,
+    GROUPS_PREFIX,
     LEASE_BASIS_CHANGED,
     NODES_PREFIX,
     PRESENCE_PREFIX,
     PREVIOUS_PRIMARY_STOPPED,
 )
 from burdockrun_gateway.group import Group
-from burdockrun_gateway.ports import Item, StoreFault
+from burdockrun_gateway.ports import Item, StoreFault, Write
 from burdockrun_gateway.records import dump_ack
 from burdockrun_gateway.successors import StepFailedError
 from burdockrun_gateway.supervisor import Supervisor
 from burdockrun_groups import PRIMARY_LEASE_MARGIN_MS, PRIMARY_LEASE_MS, GroupRecord, Reason
-from burdockrun_site.store import PlatformPromotionClient
+from burdockrun_site.store import PlatformPromotionClient, PlatformStore
 from result import Err, Ok
 
 from tests.site.common import SERVICE, Deployment, async_deploy, error_of, read_events
@@ -700,3 +703,59 @@
             await deployment.async_wait_until(lambda: copy.as_of >= revision)
         assert listed.called == is_missed
         assert not holder.directory.all_stopped(record, revision)
+
+
+@pytest.mark.parametrize("gateways", [1, 2])
+async def test_a_commit_is_not_in_doubt_since_the_group_gets_its_first_record(
+    gateways: int,
+) -> None:
+    """Guards against INDOUBT for a commit without any fault, at a start with a slow store."""
+    commit, released = PlatformStore.async_commit, asyncio.Event()
+
+    async def async_commit(
+        store: PlatformStore, expected: dict[str, int], writes: list[Write], *arguments: Any
+    ) -> Any:
+        if any(one.key.startswith(GROUPS_PREFIX) for one in writes):
+            await released.wait()
+        return await commit(store, expected, writes, *arguments)
+
+    with patch.object(PlatformStore, "async_commit", async_commit):
+        deployment = Deployment()
+        starting = asyncio.create_task(deployment.async_start(gateways))
+        try:
+            await deployment.async_wait_until(
+                lambda: len(deployment.gateways) == gateways
+                and all(one.directory.find_group(SERVICE) for one in deployment.gateways)
+                and all(one.directory._is_awaited() for one in deployment.gateways)
+            )
+            # The nodes ask the members when the store does not answer.
+            deployment.store.down = True
+            await deployment.async_wait_until(
+                lambda: all(has_reported_primary(one) for one in deployment.gateways)
+            )
+            clients = [await deployment.async_connect("urgent", one) for one in range(gateways)]
+            for client in clients:
+                for text in ("BEGIN", "WRITE ward v1"):
+                    assert error_of(await client.async_query(text)) == ""
+            deployment.store.down = False
+            released.set()
+            while not all(deployment.is_serving(one) for one in deployment.gateways):
+                for client in clients:
+                    assert error_of(await client.async_query("READ ward")) == ""
+                await asyncio.sleep(0.1)
+            for client in clients:
+                assert error_of(await client.async_query("COMMIT")) == ""
+            assert len(deployment.members["a"].log) == gateways
+        finally:
+            deployment.store.down = False
+            released.set()
+            await starting
+            await deployment.async_stop()
+
+
+def has_reported_primary(gateway: Gateway) -> bool:
+    """Return whether a gateway has a lease by reports and knows of no record."""
+    group = gateway.directory.find_group(SERVICE)
+    if group is None or group.primary_lease.record is not None:
+        return False
+    return group.primary_lease.basis(now_ms()) == "reports"
