--- a/script/fault_soak/store.py
+++ b/script/fault_soak/store.py
@@ -58,6 +58,13 @@
                 return response
             case "garbage":
                 return web.Response(body=random.choice(GARBAGE), content_type="application/json")
+        return await self._async_handle(request, handler, node)
+
+    async def _async_handle(
+        self, request: web.Request, handler: Handler, node: str
+    ) -> web.StreamResponse:
+        """Execute a call, late if the node ends; answer nothing if it has lost the store."""
+        assert request.transport is not None
         try:
             late_s = self.late_s.get(node, 0.0)
             if late_s and request.path == "/-/kv-txn":
