Let the late mark of leaving in its test arrive while its lease still runs

Cause: test_a_late_call_leaves_the_registration_of_the_next_process[leave] could not fail: the mark came 3 s late, when the lease of the earlier registration had ended and the store refuses it anyway. Found on reading the change again; said nothing of a failure of it. Change: it comes 1.5 s late.

--- a/tests/site/test_late_calls.py
+++ b/tests/site/test_late_calls.py
@@ -30,6 +30,8 @@
 
 # A call without an answer is executed this long after it was sent: the next process is registered.
 LATE_S = 3.0
+# The same for a mark of leaving, which is refused once the lease of its registration has ended.
+LEAVE_LATE_S = 1.5
 # After the removal of a registration, no node is waited for that has left.
 LEFT_S = 1.8
 # A primary that most nodes have lost is replaced within this time.
@@ -103,9 +105,10 @@
     """Guards against a node that its previous process unregisters, or marks as leaving."""
     async with async_deploy(gateways=2) as deployment:
         answers = LostAnswers()
-        answers.fates = [(COMMIT, LATE_S)] * (RELEASE_TRIES if call == "release" else 1)
+        answers.fates = [(COMMIT, LATE_S)] * RELEASE_TRIES
         answers.is_reset = True
         if call == "leave":
+            answers.fates = [(COMMIT, LEAVE_LATE_S)]
             answers.patch_gateway(deployment.gateways[1])
             await deployment.gateways[1]._registration.async_leave()
         await async_restart(deployment, 1, answers)
